Add design page, build, checks and the interfaces of the packages

Cause: the packages are built side by side, so their interfaces, their state and the messages between nodes have to be written down first. Ruled out: slots split over all gateways (less than one slot each at 8 slots and 9 gateways) and one central scheduler; docs/design.md gives the reasons. Conclusion: pools have owners under epochs, team limits have allotments, and claims go through the replicated log.

--- /dev/null
+++ b/base/time.h
@@ -0,0 +1,20 @@
+#ifndef GODWITPADDLE_BASE_TIME_H_
+#define GODWITPADDLE_BASE_TIME_H_
+
+#include <cstdint>
+
+namespace godwitpaddle {
+
+/// Monotonic time or a duration in microseconds. The epoch is arbitrary per process.
+using Micros = std::int64_t;
+
+/// Wall time in milliseconds since the Unix epoch.
+using WallMs = std::int64_t;
+
+inline constexpr Micros kMillisecond = 1'000;
+inline constexpr Micros kSecond = 1'000'000;
+inline constexpr Micros kMinute = 60 * kSecond;
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_BASE_TIME_H_
--- /dev/null
+++ b/node/messages.cc
@@ -0,0 +1,1 @@
+#include "node/messages.h"
--- /dev/null
+++ b/replication/messages.cc
@@ -0,0 +1,1 @@
+#include "replication/messages.h"
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs what the build needs, builds, checks formatting, lints and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install_packages.sh
+mapfile -t sources < <(git ls-files '*.h' '*.cc')
+clang-format --dry-run --Werror "${sources[@]}"
+echo "formatter: ${#sources[@]} files clean"
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build build
+tools/lint.sh build
+ctest --test-dir build --output-on-failure -j "$(nproc)"
--- /dev/null
+++ b/tools/godwitpaddleConfig.cmake
@@ -0,0 +1,6 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(PkgConfig)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+find_dependency(nlohmann_json)
+include(${CMAKE_CURRENT_LIST_DIR}/godwitpaddleTargets.cmake)
