--- a/decision/config.h
+++ b/decision/config.h
@@ -77,7 +77,9 @@
   std::set<TeamId> teams;  // keyed queue: the teams allowed; empty means all
   std::int64_t default_deadline_ms = 30'000;
   std::int64_t max_body_bytes = 1'048'576;
-  MSGPACK_DEFINE(pool, idempotent, open, team, teams, default_deadline_ms, max_body_bytes)
+  double objective = 0.999;  // share of requests to be served in time
+  MSGPACK_DEFINE(pool, idempotent, open, team, teams, default_deadline_ms, max_body_bytes,
+                 objective)
 };
 
 /// One team (an organisation).
--- a/decision/planners.h
+++ b/decision/planners.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "decision/commands.h"
 #include "decision/fleet_state.h"
+#include "decision/service_level.h"
 
 namespace godwitpaddle {
 
@@ -51,7 +52,8 @@
   std::map<TeamId, TeamUse> teams;
   std::map<PoolId, PoolUse> pools;
   std::map<VmId, VmUse> vms;
-  MSGPACK_DEFINE(full, draining, teams, pools, vms)
+  std::map<QueueId, ServiceCounts> levels;
+  MSGPACK_DEFINE(full, draining, teams, pools, vms, levels)
 };
 
 /// The leader's view of one incarnation.
