Add the deterministic node: gateway, pool owner, leader duties and leases

Ruled out: separate state machines for gateway and owner in the daemon, since their races could not be replayed from a seed. Conclusion: a node is a pure function of its options, its disk and its events.

--- /dev/null
+++ b/node/admin_requests.h
@@ -0,0 +1,51 @@
+#ifndef GODWITPADDLE_NODE_ADMIN_REQUESTS_H_
+#define GODWITPADDLE_NODE_ADMIN_REQUESTS_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "node/admin.h"
+#include "node/context.h"
+#include "node/messages.h"
+
+namespace godwitpaddle {
+
+/// Carries admin requests to the leader and their answers back to the operator's connection.
+class AdminRequests {
+ public:
+  /// `bootstrap` forms the group on this node; false when one exists or the node has no disk.
+  AdminRequests(NodeContext& context, std::function<bool()> bootstrap)
+      : context_(context), bootstrap_(std::move(bootstrap)) {}
+
+  void OnHttp(const HttpEvent& request);
+  void OnHttpClosed(std::uint64_t connection);
+  void OnReply(const ProposeReply& reply);
+  void OnStatus(const StatusReply& reply);
+  /// Repeats what was not answered; ends what waited too long.
+  void Tick();
+  bool Idle() const { return pending_.empty(); }
+
+ private:
+  struct Pending {
+    std::uint64_t connection = 0;
+    std::optional<CommandBody> command;  // nothing: a status query
+    Micros expires = 0;
+    Micros next_send = 0;
+    std::optional<ProposeReply> reply;  // answered once its index is applied here
+    std::vector<GrantKey> more_keys;    // bootstrap: granted one after the other
+  };
+
+  void Send(const std::string& id, Pending& pending);
+  bool Settle(Pending& pending);
+
+  NodeContext& context_;
+  std::function<bool()> bootstrap_;
+  std::map<std::string, Pending> pending_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_NODE_ADMIN_REQUESTS_H_
--- /dev/null
+++ b/node/answer_cache.cc
@@ -0,0 +1,33 @@
+#include "node/answer_cache.h"
+
+namespace godwitpaddle {
+namespace {
+
+// Book-keeping of one entry beside its strings.
+constexpr std::size_t kEntryOverhead = 256;
+
+}  // namespace
+
+std::size_t AnswerCache::Cost(const std::string& key, const ForwardAnswer& answer) {
+  return kEntryOverhead + 2 * key.size() + answer.body.size();
+}
+
+void AnswerCache::Put(const std::string& key, const ForwardAnswer& answer) {
+  const std::size_t cost = Cost(key, answer);
+  if (cost > max_bytes_ || !answers_.emplace(key, answer).second) return;
+  order_.push_back(key);
+  bytes_ += cost;
+  while (bytes_ > max_bytes_) {
+    const auto oldest = answers_.find(order_.front());
+    bytes_ -= Cost(oldest->first, oldest->second);
+    answers_.erase(oldest);
+    order_.pop_front();
+  }
+}
+
+const ForwardAnswer* AnswerCache::Find(const std::string& key) const {
+  const auto found = answers_.find(key);
+  return found == answers_.end() ? nullptr : &found->second;
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/node/gateway.h
@@ -0,0 +1,79 @@
+#ifndef GODWITPADDLE_NODE_GATEWAY_H_
+#define GODWITPADDLE_NODE_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "decision/service_level.h"
+#include "node/context.h"
+#include "node/messages.h"
+
+namespace godwitpaddle {
+
+/// Serves callers and backend servers over HTTP: checks requests and hands them to the owner of
+/// their pool.
+class Gateway {
+ public:
+  explicit Gateway(NodeContext& context) : context_(context) {}
+
+  /// Handles every path but /v1/admin/.
+  void OnHttp(const HttpEvent& request);
+  void OnHttpClosed(std::uint64_t connection);
+  void OnAnswer(const ForwardAnswer& answer);
+  void OnAccepted(const ForwardAccepted& accepted);
+  void OnAnnounceReply(const AnnounceReply& reply);
+  /// Repeats what was not answered, and ends what passed its deadline.
+  void Tick();
+  /// Requests of a former incarnation are repeated under their old attempt ids.
+  bool Idle() const { return attempts_.empty(); }
+  /// Requests by outcome as callers saw them.
+  const std::map<QueueId, ServiceCounts>& levels() const { return levels_; }
+
+ private:
+  enum class Kind : std::uint8_t { kRequest, kCancel, kQuery };
+  /// One call that waits for the pool's owner.
+  struct Attempt {
+    Kind kind = Kind::kRequest;
+    std::uint64_t connection = 0;  // 0 once the caller was answered or is gone
+    Forward forward;
+    PoolId pool;
+    bool idempotent = false;
+    Micros arrived = 0;
+    Micros deadline = 0;
+    Micros next_send = 0;
+    Incarnation sent_to;
+    std::set<Incarnation> unresolved;  // owners that may still hold or have run it
+    bool may_have_run = false;
+  };
+
+  void OnRequest(const HttpEvent& request, const QueueId& queue);
+  void OnCancelOrQuery(const HttpEvent& request, const std::string& target);
+  void OnAnnouncement(const HttpEvent& request);
+  /// Returns the team, or answers with 401 or 403 and returns nothing.
+  std::optional<TeamId> Authenticate(const HttpEvent& request, const QueueId& queue,
+                                     const QueueConfig& config);
+  bool ReadyForWork(const HttpEvent& request);
+  void Start(Attempt attempt);
+  void SendAttempt(const std::string& id, Attempt& attempt);
+  void Expire(const std::string& id, Attempt& attempt);
+  void Finish(const std::string& id, const Attempt& attempt, RespondEffect response,
+              ServiceOutcome outcome);
+
+  NodeContext& context_;
+  std::unordered_map<std::string, Attempt> attempts_;
+  std::unordered_map<std::uint64_t, std::string> by_connection_;
+  std::set<std::pair<Micros, std::string>> timers_;  // next send or deadline by time
+  struct Relay {
+    std::uint64_t connection = 0;
+    Micros expires = 0;
+  };
+  std::map<std::string, Relay> relays_;
+  std::map<QueueId, ServiceCounts> levels_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_NODE_GATEWAY_H_
--- /dev/null
+++ b/node/leader.cc
@@ -0,0 +1,204 @@
+#include "node/leader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "node/admin.h"
+
+namespace godwitpaddle {
+namespace {
+
+// The platform answers a call or the driver reports it unreachable well within this time.
+constexpr Micros kPlatformRetry = 2 * kSecond;
+constexpr std::size_t kMaxWaiting = 100'000;
+
+}  // namespace
+
+bool Leader::Vouches() const {
+  return leading_ && replica_.HoldsLease(context_.now) && replica_.KnowsCommit();
+}
+
+void Leader::OnLeadership(bool leading) {
+  for (const auto& [index, waiting] : waiting_) {
+    context_.Send(waiting.reply_address,
+                  ProposeReply{.proposal = waiting.proposal, .accepted = false});
+  }
+  waiting_.clear();
+  leading_ = leading;
+  view_ = FleetView{.leader_since = context_.now, .leader_node = context_.options.node};
+  moves_ = MoveMemory{};
+  burn_ = BurnHistory{};
+  levels_.clear();
+  bases_.clear();
+  lapsing_.clear();
+  arriving_.clear();
+  platform_calls_.clear();
+  BuildSchedules();
+  context_.Log(Severity::kInfo, leading ? "leader_elected" : "leader_lost",
+               {{"term", std::to_string(replica_.term())}});
+}
+
+void Leader::BuildSchedules() {
+  const auto every = [](Micros period, std::function<void(Plan&)> run) {
+    return Schedule{.period = period, .run = std::move(run)};
+  };
+  schedules_ = {
+      every(100 * kMillisecond,
+            [this](Plan& plan) { PlanNodes(context_.state, view_, context_.now, plan); }),
+      every(100 * kMillisecond,
+            [this](Plan& plan) { PlanOwners(context_.state, view_, context_.now, plan); }),
+      every(60 * kMillisecond,
+            [this](Plan& plan) { PlanAllotments(context_.state, view_, context_.now, plan); }),
+      every(250 * kMillisecond,
+            [this](Plan& plan) {
+              PlanWaves(context_.state, view_, context_.now, context_.wall, plan);
+            }),
+      every(1 * kSecond,
+            [this](Plan& plan) { PlanMoves(context_.state, view_, context_.now, moves_, plan); }),
+  };
+}
+
+std::uint64_t Leader::AppendBody(CommandBody body) {
+  return append_(Encode(Command{.wall = context_.wall, .body = std::move(body)}));
+}
+
+void Leader::Tick() {
+  if (!Vouches()) return;
+  // A new leader plans only from a state that holds everything earlier leaders committed.
+  if (context_.state.applied_index < replica_.commit_index()) return;
+  for (const auto& [incarnation, record] : context_.state.nodes) {
+    view_.nodes.try_emplace(incarnation, NodeView{.last_granted = view_.leader_since});
+  }
+  std::erase_if(view_.nodes,
+                [this](const auto& entry) { return !context_.state.nodes.contains(entry.first); });
+  SampleBurn(burn_, levels_, context_.now);
+  for (Schedule& schedule : schedules_) {
+    if (context_.now < schedule.next || context_.state.applied_index < schedule.settles_at)
+      continue;
+    schedule.next = context_.now + schedule.period;
+    Plan plan;
+    schedule.run(plan);
+    for (CommandBody& body : plan.commands) {
+      if (const auto* lapsed = std::get_if<NodeLapsed>(&body)) lapsing_.insert(lapsed->incarnation);
+      schedule.settles_at = AppendBody(std::move(body));
+    }
+    for (const PlatformCall& call : plan.calls) CallPlatform(call);
+  }
+}
+
+// ---- leases ----
+
+LeaseGrant Leader::Grant(const LeaseRenew& renew) {
+  LeaseGrant grant{.incarnation = renew.incarnation,
+                   .seq = renew.seq,
+                   .leader_address = context_.leader_address};
+  if (!Vouches()) return grant;
+  const auto node = context_.state.nodes.find(renew.incarnation);
+  if (node == context_.state.nodes.end()) {
+    if (arriving_.insert(renew.incarnation).second) {
+      AppendBody(NodeUp{.incarnation = renew.incarnation, .record = renew.record});
+    }
+    return grant;
+  }
+  arriving_.erase(renew.incarnation);
+  grant.lapsed = node->second.lapsed;
+  if (grant.lapsed || lapsing_.contains(renew.incarnation)) return grant;
+  grant.granted = true;
+  grant.commit_index = replica_.commit_index();
+  grant.wants_full = !renew.report.full && !bases_[renew.incarnation].full;
+  NodeView& view = view_.nodes[renew.incarnation];
+  view.last_granted = context_.now;
+  view.applied_index = std::max(view.applied_index, renew.applied_index);
+  view.draining = renew.report.draining;
+  if (!grant.wants_full) Record(renew);
+  return grant;
+}
+
+void Leader::OnRenew(const LeaseRenew& renew) {
+  context_.Send(renew.record.peer_address, Grant(renew));
+}
+
+void Leader::Record(const LeaseRenew& renew) {
+  Base& base = bases_[renew.incarnation];
+  if (renew.seq <= base.seq) return;  // overtaken by a later report
+  base = {.full = true, .seq = renew.seq};
+  NodeView& view = view_.nodes[renew.incarnation];
+  for (const auto& [team, use] : renew.report.teams) view.teams[team] = use;
+  for (const auto& [queue, counts] : renew.report.levels)
+    levels_[renew.incarnation][queue] = counts;
+  const auto owns = [this, &renew](const PoolId& pool) {
+    const auto owner = context_.state.owners.find(pool);
+    return owner != context_.state.owners.end() && owner->second.owner == renew.incarnation;
+  };
+  for (const auto& [pool, use] : renew.report.pools) {
+    if (owns(pool)) view_.pools[pool] = use;
+  }
+  for (const auto& [vm, use] : renew.report.vms) {
+    const auto record = context_.state.vms.find(vm);
+    if (record == context_.state.vms.end() || !owns(record->second.pool)) continue;
+    const auto [known, inserted] = view_.vms.try_emplace(vm, use);
+    if (inserted || known->second.ready != use.ready) view_.vm_changed[vm] = context_.now;
+    known->second = use;
+  }
+}
+
+// ---- proposals ----
+
+void Leader::OnPropose(const Propose& propose) {
+  const std::uint64_t index =
+      leading_ && waiting_.size() < kMaxWaiting ? AppendBody(propose.body) : 0;
+  if (propose.proposal.empty()) return;
+  if (index == 0) {
+    context_.Send(propose.reply_address,
+                  ProposeReply{.proposal = propose.proposal, .accepted = false});
+  } else {
+    waiting_[index] = {.proposal = propose.proposal, .reply_address = propose.reply_address};
+  }
+}
+
+void Leader::OnApplied(std::uint64_t index, const ApplyResult& result) {
+  const auto waiting = waiting_.find(index);
+  if (waiting == waiting_.end()) return;
+  context_.Send(waiting->second.reply_address, ProposeReply{.proposal = waiting->second.proposal,
+                                                            .accepted = true,
+                                                            .index = index,
+                                                            .result = result});
+  waiting_.erase(waiting);
+}
+
+void Leader::OnStatusQuery(const StatusQuery& query) {
+  if (!Vouches()) return;
+  const std::vector<BurnLine> burn = BurnReport(burn_, context_.state.config, context_.now);
+  context_.Send(query.reply_address, StatusReply{.query = query.query,
+                                                 .json = StatusJson(context_.state, view_, replica_,
+                                                                    burn, context_.now)});
+}
+
+// ---- platform ----
+
+void Leader::CallPlatform(const PlatformCall& call) {
+  const auto [known, inserted] = platform_calls_.try_emplace(call.operation_id, context_.now);
+  if (!inserted && context_.now - known->second < kPlatformRetry) return;
+  known->second = context_.now;
+  context_.effects.emplace_back(PlatformEffect{.call = call});
+}
+
+void Leader::OnPlatform(const PlatformEvent& event) {
+  const bool ended = event.state == PlatformState::kDone || event.state == PlatformState::kFailed;
+  if (!leading_ || !ended) return;
+  platform_calls_.erase(event.operation_id);
+  for (const auto& [id, vm] : context_.state.vms) {
+    if (!vm.operation || vm.operation->id != event.operation_id ||
+        vm.operation->phase != VmPhase::kStopping)
+      continue;
+    const bool done = event.state == PlatformState::kDone;
+    AppendBody(AdvanceVmOperation{.vm = id,
+                                  .operation_id = event.operation_id,
+                                  .from = VmPhase::kStopping,
+                                  .to = done ? VmPhase::kVerifying : VmPhase::kFailed,
+                                  .error = event.error});
+    return;
+  }
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/node/leader.h
@@ -0,0 +1,82 @@
+#ifndef GODWITPADDLE_NODE_LEADER_H_
+#define GODWITPADDLE_NODE_LEADER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decision/planners.h"
+#include "decision/service_level.h"
+#include "node/context.h"
+#include "node/messages.h"
+#include "replication/replica.h"
+
+namespace godwitpaddle {
+
+/// Duties of the elected leader: node leases, proposals of all nodes, and the planners.
+class Leader {
+ public:
+  /// `append` appends an encoded command to the log and returns its index, or 0 when this replica
+  /// is not the leader.
+  using Append = std::function<std::uint64_t(std::string)>;
+
+  Leader(NodeContext& context, const replication::Replica& replica, Append append)
+      : context_(context), replica_(replica), append_(std::move(append)) {}
+
+  /// Call when leadership was won or lost.
+  void OnLeadership(bool leading);
+  void OnRenew(const LeaseRenew& renew);
+  void OnPropose(const Propose& propose);
+  void OnStatusQuery(const StatusQuery& query);
+  void OnPlatform(const PlatformEvent& event);
+  /// Answers the proposal that was appended at `index`.
+  void OnApplied(std::uint64_t index, const ApplyResult& result);
+  /// Runs the planners that are due.
+  void Tick();
+
+ private:
+  struct Waiting {
+    std::string proposal;
+    std::string reply_address;
+  };
+  struct Base {  // report state of one incarnation
+    bool full = false;
+    std::uint64_t seq = 0;
+  };
+  /// A planner with its period; it runs again only after its last commands were applied.
+  struct Schedule {
+    Micros period = 0;
+    std::function<void(Plan&)> run;
+    Micros next = 0;
+    std::uint64_t settles_at = 0;
+  };
+
+  bool Vouches() const;
+  void Record(const LeaseRenew& renew);
+  std::uint64_t AppendBody(CommandBody body);
+  void BuildSchedules();
+  void CallPlatform(const PlatformCall& call);
+  LeaseGrant Grant(const LeaseRenew& renew);
+
+  NodeContext& context_;
+  const replication::Replica& replica_;
+  Append append_;
+  bool leading_ = false;
+  FleetView view_;
+  MoveMemory moves_;
+  BurnHistory burn_;
+  std::map<Incarnation, std::map<QueueId, ServiceCounts>> levels_;
+  std::map<Incarnation, Base> bases_;
+  std::set<Incarnation> lapsing_;             // NodeLapsed proposed: no more grants
+  std::set<Incarnation> arriving_;            // NodeUp proposed
+  std::map<std::uint64_t, Waiting> waiting_;  // by log index
+  std::vector<Schedule> schedules_;
+  std::map<std::string, Micros> platform_calls_;  // in flight, by operation id
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_NODE_LEADER_H_
--- a/node/messages.h
+++ b/node/messages.h
@@ -89,15 +89,17 @@
   MSGPACK_DEFINE(error, message, not_run, retry_after_ms)
 };
 
-/// The end of an attempt. `again` asks the gateway to forward to the current owner.
+/// The end of an attempt at one owner. `again` asks the gateway to forward to the current owner.
 struct ForwardAnswer {
   std::string attempt;
+  Incarnation owner;
   bool again = false;
+  bool may_have_run = false;  // with `again` and refusals: an earlier place may have run it
   int status = 0;
   std::string content_type;
   std::string body;
   std::optional<ForwardRefusal> refusal;
-  MSGPACK_DEFINE(attempt, again, status, content_type, body, refusal)
+  MSGPACK_DEFINE(attempt, owner, again, may_have_run, status, content_type, body, refusal)
 };
 
 /// The owner holds the attempt; the gateway need not repeat it so soon.
--- /dev/null
+++ b/tests/fake_backend.h
@@ -0,0 +1,106 @@
+#ifndef GODWITPADDLE_TESTS_FAKE_BACKEND_H_
+#define GODWITPADDLE_TESTS_FAKE_BACKEND_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/virtual_cluster.h"
+
+namespace godwitpaddle::testing {
+
+/// A request as the fakes see it; it travels as the request's body.
+struct Job {
+  std::string id;
+  TeamId team;
+  bool once = false;  // non-idempotent: a second start is a violation
+  int run_ms = 50;
+
+  std::string Body() const;
+  static Job FromBody(const std::string& body);
+};
+
+/// One VM with its backend server.
+struct FakeServer {
+  struct Task {
+    Job job;
+    std::size_t node = 0;
+    std::uint64_t life = 0;
+    Micros lease_until = 0;
+  };
+  VmId vm;
+  PoolId pool;
+  std::string rack;
+  std::string zone;
+  int slots = 8;
+  int boot = 1;
+  bool up = true;
+  bool fails_everything = false;
+  bool refuses_everything = false;
+  Micros leaving_since = 0;  // 0: not leaving
+  Micros silent_until = 0;   // its announcements are lost until then
+  std::uint64_t epoch = 0;
+  std::map<std::string, Task> tasks;
+
+  std::string address() const { return vm + ":80"; }
+};
+
+/// Backend servers and the platform of a virtual cluster, with the checks that only the outside can
+/// make.
+class FakeBackend : public Outside {
+ public:
+  explicit FakeBackend(VirtualCluster& cluster) : cluster_(cluster) {}
+
+  /// The pool's service has the pool's name.
+  void AddServer(const VmId& vm, const PoolId& pool, const std::string& rack,
+                 const std::string& zone, int slots);
+  void set_limit(const TeamId& team, int limit) { limits_[team] = limit; }
+  void set_min_available(const PoolId& pool, int vms) { min_available_[pool] = vms; }
+  void set_platform_failures(double probability) { platform_failures_ = probability; }
+  /// The server loses its tasks and comes back with a new incarnation.
+  void Crash(const VmId& vm, Micros down);
+  std::map<VmId, FakeServer>& servers() { return servers_; }
+
+  void StartTask(std::size_t node, const StartTaskEffect& start) override;
+  void OrderTask(std::size_t node, const OrderTaskEffect& order) override;
+  void CallPlatform(std::size_t node, const PlatformCall& call) override;
+
+  int StartsOf(const std::string& job) const;
+  int RunningOf(const TeamId& team) const;
+  std::uint64_t starts() const { return total_starts_; }
+  std::uint64_t reboots() const { return reboots_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+  void Violate(const std::string& text) { violations_.push_back(text); }
+
+ private:
+  void Announce(const VmId& vm);
+  void Receive(std::size_t node, std::uint64_t life, const StartTaskEffect& start);
+  void CheckStart(const FakeServer& server, const Job& job);
+  void End(FakeServer& server, const std::string& task_id, TaskEvent event);
+  void ExpireLease(const VmId& vm, const std::string& task_id);
+  void Report(std::size_t node, std::uint64_t life, TaskEvent event);
+  void StartOperation(const PlatformCall& call);
+
+  struct Operation {
+    PlatformCall call;
+    PlatformState state = PlatformState::kRunning;
+  };
+
+  VirtualCluster& cluster_;
+  std::map<VmId, FakeServer> servers_;
+  std::map<TeamId, int> limits_;
+  std::map<PoolId, int> min_available_;
+  std::map<std::string, int> starts_;
+  std::map<TeamId, int> running_;
+  std::map<std::string, Operation> operations_;
+  double platform_failures_ = 0;
+  std::uint64_t total_starts_ = 0;
+  std::uint64_t reboots_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace godwitpaddle::testing
+
+#endif  // GODWITPADDLE_TESTS_FAKE_BACKEND_H_
--- /dev/null
+++ b/tests/virtual_cluster.h
@@ -0,0 +1,136 @@
+#ifndef GODWITPADDLE_TESTS_VIRTUAL_CLUSTER_H_
+#define GODWITPADDLE_TESTS_VIRTUAL_CLUSTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "node/node.h"
+
+namespace godwitpaddle::testing {
+
+/// Faults of the links between nodes, as probabilities per message.
+struct LinkFaults {
+  double loss = 0;
+  double duplicate = 0;
+  Micros max_delay = 2 * kMillisecond;
+};
+
+/// Receives the effects that leave a node towards backend servers and the platform.
+class Outside {
+ public:
+  virtual ~Outside() = default;
+  virtual void StartTask(std::size_t node, const StartTaskEffect& start) = 0;
+  virtual void OrderTask(std::size_t node, const OrderTaskEffect& order) = 0;
+  virtual void CallPlatform(std::size_t node, const PlatformCall& call) = 0;
+};
+
+/// Runs nodes in virtual time over links, disks and clocks that can fail. All randomness comes from
+/// one seed.
+class VirtualCluster {
+ public:
+  VirtualCluster(std::size_t nodes, std::size_t with_disk, std::uint64_t seed);
+
+  Micros now() const { return now_; }
+  Rng& rng() { return rng_; }
+  std::size_t size() const { return slots_.size(); }
+  void set_outside(Outside* outside) { outside_ = outside; }
+  void set_faults(const LinkFaults& faults) { faults_ = faults; }
+
+  void At(Micros time, std::function<void()> action);
+  void After(Micros delay, std::function<void()> action) { At(now_ + delay, std::move(action)); }
+  void RunUntil(Micros time);
+  void RunFor(Micros time) { RunUntil(now_ + time); }
+  /// Runs until the condition holds; false if it does not within `limit`.
+  bool RunUntilTrue(const std::function<bool()>& condition, Micros limit);
+
+  /// Sends an HTTP request to a node; `done` gets the answer, or nothing when the node dies first.
+  /// Returns the connection for Hangup, or 0 when the node is down.
+  std::uint64_t Http(std::size_t node, HttpEvent request,
+                     std::function<void(const std::optional<RespondEffect>&)> done);
+  void Hangup(std::size_t node, std::uint64_t connection);
+  /// Delivers an event to a node of the given life; dropped when that life is over.
+  void Deliver(std::size_t node, std::uint64_t life, Event event);
+
+  void Kill(std::size_t node);
+  void Start(std::size_t node);
+  void LoseDisk(std::size_t node);
+  void Freeze(std::size_t node, Micros duration);
+  void Shutdown(std::size_t node);
+  /// Messages from `from` to `to` are lost silently until the time.
+  void Cut(std::size_t from, std::size_t to, Micros duration);
+  void Isolate(std::size_t node, Micros duration);
+
+  bool alive(std::size_t node) const { return slots_[node].node != nullptr; }
+  bool frozen(std::size_t node) const { return slots_[node].frozen_until > now_; }
+  std::uint64_t life(std::size_t node) const { return slots_[node].life; }
+  const Node& node(std::size_t index) const { return *slots_[index].node; }
+  bool HoldsLease(std::size_t node) const;
+  std::optional<std::size_t> LeaderIndex() const;
+  WallMs wall() const { return kWallStart + now_ / kMillisecond; }
+  /// Events handled by all nodes, and messages sent between them.
+  std::uint64_t steps() const { return steps_; }
+  std::uint64_t messages() const { return messages_; }
+  /// The last log lines of all nodes.
+  const std::vector<std::string>& log() const { return log_; }
+
+  static constexpr WallMs kWallStart = 1'700'000'000'000;
+
+ private:
+  struct Slot {
+    NodeOptions options;
+    std::unique_ptr<Node> node;
+    std::uint64_t life = 0;
+    replication::ReplicaId replica;
+    replication::StoredState disk;
+    std::vector<replication::PersistBatch> unsynced;
+    Micros frozen_until = 0;
+    double clock_rate = 1;
+    Micros clock_offset = 0;
+    std::map<std::uint64_t, std::function<void(const std::optional<RespondEffect>&)>> connections;
+  };
+  struct Item {
+    Micros time = 0;
+    std::uint64_t order = 0;
+    std::function<void()> action;
+    bool operator>(const Item& other) const {
+      return time != other.time ? time > other.time : order > other.order;
+    }
+  };
+
+  Micros LocalTime(const Slot& slot) const;
+  void Step(std::size_t node, const Event& event);
+  void CarryOut(std::size_t node, Effect& effect);
+  void Send(std::size_t from, const SendEffect& send);
+  void Persist(std::size_t node, replication::PersistBatch batch);
+  void ScheduleTick(std::size_t node, std::uint64_t life);
+
+  std::vector<Slot> slots_;
+  std::map<std::string, std::size_t> by_address_;
+  std::map<std::pair<std::size_t, std::size_t>, Micros> cuts_;
+  Outside* outside_ = nullptr;
+  LinkFaults faults_;
+  Rng rng_;
+  Micros now_ = 0;
+  std::uint64_t next_order_ = 0;
+  std::uint64_t next_connection_ = 1;
+  std::uint64_t next_replica_ = 1;
+  std::uint64_t steps_ = 0;
+  std::uint64_t messages_ = 0;
+  std::priority_queue<Item, std::vector<Item>, std::greater<>> queue_;
+  std::vector<std::string> log_;
+};
+
+/// Applies a batch to what a disk holds.
+void WriteBatch(replication::StoredState& disk, const replication::PersistBatch& batch);
+
+}  // namespace godwitpaddle::testing
+
+#endif  // GODWITPADDLE_TESTS_VIRTUAL_CLUSTER_H_
