Add virtual-time driver, fakes and randomised runs over whole nodes

Cause: the invariants have to be shown under failures that race. Ruled out: a cluster simulator; the driver only moves the effects of real nodes between them, and fakes stand at the interfaces. Conclusion: one seed decides a whole run.

--- /dev/null
+++ b/tests/node_soak.cc
@@ -0,0 +1,44 @@
+#include <popt.h>
+
+#include <cstdint>
+#include <iostream>
+
+#include "tests/soak_run.h"
+
+// Runs seeded soak runs: node_soak [--seed FIRST] [--seeds COUNT] [--steps N] [--calm]. Exits 1 on
+// a violation, after printing its seed and the nodes' last log lines.
+int main(int argc, const char** argv) {
+  long first = 1;
+  long count = 1;
+  long steps = 2'000;
+  int calm = 0;
+  const poptOption options[] = {{"seed", 0, POPT_ARG_LONG, &first, 0, "first seed", "N"},
+                                {"seeds", 0, POPT_ARG_LONG, &count, 0, "how many seeds", "N"},
+                                {"steps", 0, POPT_ARG_LONG, &steps, 0,
+                                 "actions of callers, operators and faults in a run", "N"},
+                                {"calm", 0, POPT_ARG_NONE, &calm, 0, "no faults", nullptr},
+                                POPT_AUTOHELP POPT_TABLEEND};
+  const poptContext context =
+      poptGetContext(nullptr, argc, argv, static_cast<const poptOption*>(options), 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed != -1 || count < 1 || steps < 1) {
+    std::cerr << "node_soak: bad options, see --help\n";
+    return 2;
+  }
+  using godwitpaddle::testing::SoakTotals;
+  SoakTotals sum;
+  for (long seed = first; seed < first + count; ++seed) {
+    const SoakTotals run =
+        godwitpaddle::testing::RunSoak({.seed = static_cast<std::uint64_t>(seed),
+                                        .steps = static_cast<std::uint64_t>(steps),
+                                        .faults = calm == 0});
+    godwitpaddle::testing::Accumulate(sum, run);
+    if (run.violations.empty()) continue;
+    std::cout << "seed " << seed << " failed:\n";
+    for (const auto& violation : run.violations) std::cout << "  " << violation << "\n";
+    for (const auto& line : run.log) std::cout << "    " << line << "\n";
+  }
+  std::cout << "seeds=" << count << " " << godwitpaddle::testing::TotalsLine(sum) << std::endl;
+  return sum.violations.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak_run.cc
@@ -0,0 +1,491 @@
+#include "tests/soak_run.h"
+
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "node/admin.h"
+
+namespace godwitpaddle::testing {
+namespace {
+
+constexpr int kServersPerPool = 4;
+constexpr int kSlots = 4;
+constexpr Micros kWithdrawBound = 2 * kSecond;  // stated bound for a withdrawn key
+constexpr Micros kForceBound = 12 * kSecond;    // stated bound for a configuration in force
+
+const std::vector<std::string>& Pools() {
+  static const std::vector<std::string> kPools = {"alpha", "beta", "spare"};
+  return kPools;
+}
+
+const std::vector<std::string>& Teams() {
+  static const std::vector<std::string> kTeams = {"large", "middle", "small"};
+  return kTeams;
+}
+
+int LimitOf(const TeamId& team) { return team == "large" ? 24 : team == "middle" ? 12 : 3; }
+
+std::map<std::string, std::string> Files() {
+  nlohmann::json pools;
+  nlohmann::json vms;
+  nlohmann::json queues;
+  for (const std::string& pool : Pools()) {
+    pools[pool] = {{"service", pool},          {"min_available", kServersPerPool - 1},
+                   {"spare", pool == "spare"}, {"one_zone_at_a_time", false},
+                   {"slots_per_vm", kSlots},   {"hold_down_s", 2}};
+    for (int i = 0; i < kServersPerPool; ++i) {
+      vms[pool + "-" + std::to_string(i)] = {{"pool", pool},
+                                             {"region", "r1"},
+                                             {"zone", "z" + std::to_string(i % 4 + 1)},
+                                             {"rack", "rack" + std::to_string(i)},
+                                             {"cores", 64},
+                                             {"memory_mb", 128'000}};
+    }
+    queues[pool + "-once"] = {{"pool", pool}, {"idempotent", false}};
+    queues[pool + "-any"] = {{"pool", pool}, {"idempotent", true}};
+  }
+  nlohmann::json teams;
+  for (const std::string& team : Teams())
+    teams[team] = {{"share", LimitOf(team)}, {"limit", LimitOf(team)}};
+  return {
+      {"00-fleet.json", nlohmann::json{{"fleet", {{"name", "soak"}}}}.dump()},
+      {"10-pools.json", nlohmann::json{{"pools", pools}, {"vms", vms}, {"queues", queues}}.dump()},
+      {"30-teams.json", nlohmann::json{{"teams", teams}}.dump()},
+      {"50-waves.json", nlohmann::json{{"waves", {{"reboot", {{"pools", Pools()}}}}}}.dump()}};
+}
+
+/// State of one run.
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options),
+        cluster_(options.nodes, options.disks, options.seed),
+        backend_(cluster_),
+        operator_(cluster_) {
+    cluster_.set_outside(&backend_);
+  }
+
+  SoakTotals Run() {
+    try {
+      if (!SetUp()) {
+        backend_.Violate("the group did not form or the configuration did not come into force");
+      } else {
+        Act();
+        SettleDown();
+      }
+    } catch (const std::exception& error) {
+      backend_.Violate(std::string("invariant: ") + error.what());
+    }
+    totals_.starts = backend_.starts();
+    totals_.reboots = backend_.reboots();
+    totals_.node_steps = cluster_.steps();
+    totals_.violations = backend_.violations();
+    if (!totals_.violations.empty()) totals_.log = cluster_.log();
+    return totals_;
+  }
+
+ private:
+  struct Call {
+    Job job;
+    bool not_run = false;
+  };
+
+  std::uint64_t Below(std::uint64_t bound) { return UniformBelow(cluster_.rng(), bound); }
+
+  bool SetUp() {
+    for (const std::string& pool : Pools()) {
+      for (int i = 0; i < kServersPerPool; ++i) {
+        backend_.AddServer(pool + "-" + std::to_string(i), pool, "rack" + std::to_string(i),
+                           "z" + std::to_string(i % 4 + 1), kSlots);
+      }
+      backend_.set_min_available(pool, kServersPerPool - 1);
+    }
+    for (const std::string& team : Teams()) backend_.set_limit(team, LimitOf(team));
+    if (!operator_.Bootstrap(3) || !operator_.Configure(Files())) return false;
+    for (const std::string& team : Teams()) {
+      keys_[team] = operator_.GrantTeamKey(team);
+      if (keys_[team].empty()) return false;
+    }
+    cluster_.RunFor(8 * kSecond);
+    return true;
+  }
+
+  void Act() {
+    for (std::uint64_t step = 0; step < options_.steps; ++step) {
+      cluster_.RunFor(static_cast<Micros>(Below(20 * kMillisecond)));
+      const std::uint64_t dice = Below(1'000);
+      if (options_.faults && dice < 12) {
+        Fault();
+      } else if (dice < 20) {
+        OperatorAction();
+      } else if (dice < 24) {
+        CancelWave();
+      } else {
+        Submit();
+      }
+      if (step % 64 == 0) CheckConfiguration();
+    }
+  }
+
+  /// Ends all faults and waits until every call is answered; then work must flow again.
+  void SettleDown() {
+    cluster_.set_faults({});
+    backend_.set_platform_failures(0);
+    for (std::size_t i = 0; i < cluster_.size(); ++i) cluster_.Start(i);
+    for (auto& [vm, server] : backend_.servers()) {
+      server.fails_everything = server.refuses_everything = false;
+      server.leaving_since = server.silent_until = 0;
+    }
+    cluster_.RunFor(40 * kSecond);
+    if (open_calls_ != 0)
+      backend_.Violate(std::to_string(open_calls_) + " calls were never answered");
+    for (const Call& call : calls_) {
+      if (call.not_run && backend_.StartsOf(call.job.id) > 0) {
+        backend_.Violate("refused as not run, but started: " + call.job.id);
+      }
+    }
+    CheckConfiguration();
+    const std::uint64_t before = totals_.answered;
+    for (int i = 0; i < 40; ++i) {
+      Submit();
+      cluster_.RunFor(50 * kMillisecond);
+    }
+    cluster_.RunFor(15 * kSecond);
+    if (totals_.answered < before + 30) {
+      backend_.Violate("work does not flow after the faults: " +
+                       std::to_string(totals_.answered - before) + " of 40");
+    }
+  }
+
+  void Submit() {
+    const std::string& team = Teams()[Below(Teams().size())];
+    const std::string& pool = Pools()[Below(Pools().size())];
+    const bool once = Below(2) == 0;
+    ++totals_.requests;
+    Job job{.id = std::to_string(cluster_.wall()) + "-" + std::to_string(totals_.requests),
+            .team = team,
+            .once = once,
+            .run_ms = static_cast<int>(10 + Below(400))};
+    Send(pool + (once ? "-once" : "-any"), job);
+    if (once && Below(8) == 0) Send(pool + "-once", job);  // the caller repeats at another node
+  }
+
+  void Send(const std::string& queue, const Job& job) {
+    HttpEvent request{.method = "POST",
+                      .path = "/v1/queues/" + queue + "/requests",
+                      .headers = {{"authorization", "Bearer " + keys_[job.team]},
+                                  {"idempotency-key", job.id},
+                                  {"x-deadline-ms", std::to_string(1'000 + Below(8'000))},
+                                  {"x-priority", Below(5) == 0 ? "urgent" : "normal"}},
+                      .body = job.Body()};
+    const std::size_t index = calls_.size();
+    calls_.push_back({.job = job});
+    ++calls_of_[job.id];
+    const Micros sent = cluster_.now();
+    ++open_calls_;
+    cluster_.Http(Below(cluster_.size()), std::move(request),
+                  [this, index, sent](const std::optional<RespondEffect>& response) {
+                    --open_calls_;
+                    OnAnswer(calls_[index], sent, response);
+                  });
+  }
+
+  void OnAnswer(Call& call, Micros sent, const std::optional<RespondEffect>& response) {
+    if (!response) return;
+    if (response->status == 200) {
+      ++totals_.answered;
+      if (response->body != "answer " + call.job.Body())
+        backend_.Violate("wrong answer for " + call.job.id);
+      const auto withdrawn = withdrawn_.find(call.job.team);
+      if (withdrawn != withdrawn_.end() && sent > withdrawn->second + kWithdrawBound) {
+        backend_.Violate("a withdrawn key of " + call.job.team + " still works");
+      }
+      return;
+    }
+    const auto json = nlohmann::json::parse(response->body, nullptr, false);
+    // A repeat of an id that another call holds says nothing about that call.
+    call.not_run =
+        json.is_object() && json.value("not_run", false) && calls_of_.at(call.job.id) == 1;
+    ++(call.not_run ? totals_.refused_not_run : totals_.unknown);
+  }
+
+  std::int64_t CallsOf(const std::string& id) const {
+    return std::count_if(calls_.begin(), calls_.end(),
+                         [&id](const Call& call) { return call.job.id == id; });
+  }
+
+  void CancelWave() {
+    ++totals_.faults["cancel_wave"];
+    for (std::size_t i = calls_.size() > 20 ? calls_.size() - 20 : 0; i < calls_.size(); ++i) {
+      const Job& job = calls_[i].job;
+      HttpEvent request{
+          .method = "DELETE",
+          .path = "/v1/requests/" + Pools()[Below(Pools().size())] + "-once:" + job.id,
+          .headers = {{"authorization", "Bearer " + keys_[job.team]}}};
+      cluster_.Http(Below(cluster_.size()), std::move(request), [](const auto&) {});
+    }
+  }
+
+  void OperatorAction() {
+    ++totals_.changes;
+    switch (Below(5)) {
+      case 0:
+        return RaceOfOperators();
+      case 1:
+        return WithdrawAndGrant();
+      case 2:
+        return operator_.Call("POST", "/v1/admin/waves/reboot",
+                              {{"change_id", operator_.NewChangeId()}, {"action", "start"}},
+                              operator_.operator_key(), [](int, const auto&) {});
+      case 3:
+        return operator_.Call("POST", "/v1/admin/waves/reboot",
+                              {{"change_id", operator_.NewChangeId()}, {"action", "resume"}},
+                              operator_.operator_key(), [](int, const auto&) {});
+      default:
+        return operator_.Call("GET", "/v1/admin/status", nullptr, operator_.operator_key(),
+                              [](int, const auto&) {});
+    }
+  }
+
+  /// Two operators on the same base: at most one wins. The winner's change is approved and must
+  /// stay in force.
+  void RaceOfOperators() {
+    const std::uint64_t base = operator_.revision();
+    auto wins = std::make_shared<int>(0);
+    for (int i = 0; i < 2; ++i) {
+      const std::string marker = std::to_string(next_marker_++);
+      const nlohmann::json files = {
+          {"90-marker.json", "{\"fleet\":{\"name\":\"soak-" + marker + "\"}}"}};
+      const nlohmann::json change = {
+          {"change_id", operator_.NewChangeId()}, {"base_revision", base}, {"files", files}};
+      operator_.Call("POST", "/v1/admin/changes", change, operator_.operator_key(),
+                     [this, wins](int status, auto&) {
+                       if (status != 200) return;
+                       if (++*wins > 1) backend_.Violate("two operators won on the same base");
+                       const nlohmann::json review = {{"change_id", operator_.NewChangeId()},
+                                                      {"approve", true},
+                                                      {"files", {"90-marker.json"}}};
+                       operator_.Call("POST", "/v1/admin/review", review, operator_.customer_key(),
+                                      [this](int approved, const nlohmann::json& answer) {
+                                        if (approved != 200 || !answer.contains("in_force")) return;
+                                        accepted_.emplace_back(
+                                            cluster_.now(),
+                                            answer.at("in_force").get<std::uint64_t>());
+                                      });
+                     });
+    }
+  }
+
+  void WithdrawAndGrant() {
+    const TeamId team = "small";
+    if (withdrawn_.contains(team) || granting_) return;
+    const std::string id =
+        "key-" + team + (key_round_ == 0 ? "" : "-" + std::to_string(key_round_));
+    granting_ = true;
+    operator_.Call("DELETE", "/v1/admin/keys", {{"change_id", operator_.NewChangeId()}, {"id", id}},
+                   operator_.operator_key(), [this, team](int status, const auto&) {
+                     if (status != 200) return;
+                     withdrawn_[team] = cluster_.now();
+                     cluster_.After(6 * kSecond, [this, team] { GrantAnew(team); });
+                   });
+  }
+
+  void GrantAnew(const TeamId& team) {
+    ++key_round_;
+    const std::string secret = "secret-" + team + "-" + std::to_string(key_round_);
+    const nlohmann::json grant = {{"change_id", operator_.NewChangeId()},
+                                  {"id", "key-" + team + "-" + std::to_string(key_round_)},
+                                  {"role", "team"},
+                                  {"team", team},
+                                  {"hash", Hex(HashKey(secret))}};
+    operator_.Call("POST", "/v1/admin/keys", grant, operator_.operator_key(),
+                   [this, team, secret](int status, const auto&) {
+                     if (status != 200) return;
+                     withdrawn_.erase(team);
+                     keys_[team] = secret;
+                     granting_ = false;
+                   });
+  }
+
+  /// A node with a lease has every configuration that was accepted longer ago than the bound, and
+  /// none older than one it had before.
+  void CheckConfiguration() {
+    for (std::size_t i = 0; i < cluster_.size(); ++i) {
+      if (!cluster_.HoldsLease(i)) continue;
+      const std::uint64_t in_force = cluster_.node(i).state().in_force;
+      for (const auto& [at, accepted] : accepted_) {
+        if (cluster_.now() > at + kForceBound && in_force < accepted) {
+          backend_.Violate("node " + std::to_string(i) + " lacks an accepted configuration");
+        }
+      }
+      if (in_force < newest_) {
+        const auto before = std::exchange(
+            behind_since_[i], behind_since_[i] == 0 ? cluster_.now() : behind_since_[i]);
+        if (before != 0 && cluster_.now() > before + kForceBound)
+          backend_.Violate("a configuration reverted");
+      } else {
+        behind_since_[i] = 0;
+      }
+      newest_ = std::max(newest_, in_force);
+    }
+    if (accepted_.size() > 50) accepted_.erase(accepted_.begin(), accepted_.end() - 50);
+  }
+
+  // ---- faults ----
+
+  std::size_t AnyNode() { return Below(cluster_.size()); }
+
+  VmId AnyServer() {
+    auto server = backend_.servers().begin();
+    std::advance(server, Below(backend_.servers().size()));
+    return server->first;
+  }
+
+  std::size_t DisksDown() const {
+    std::size_t down = 0;
+    for (std::size_t i = 0; i < options_.disks; ++i) down += cluster_.alive(i) ? 0 : 1;
+    return down;
+  }
+
+  void RestartLater(std::size_t node) {
+    cluster_.After(static_cast<Micros>(Below(6 * kSecond)), [this, node] { cluster_.Start(node); });
+  }
+
+  void Fault() {
+    static const std::vector<std::pair<std::string, void (Soak::*)()>> kFaults = {
+        {"kill", &Soak::KillNode},
+        {"lose_disk", &Soak::LoseDisk},
+        {"freeze", &Soak::FreezeNode},
+        {"isolate", &Soak::IsolateNode},
+        {"cut_one_way", &Soak::CutOneWay},
+        {"lossy_links", &Soak::LossyLinks},
+        {"shutdown", &Soak::ShutdownNode},
+        {"server_crash", &Soak::CrashServer},
+        {"server_fails", &Soak::FailServer},
+        {"server_silent", &Soak::SilenceServer},
+        {"server_leaves", &Soak::LeaveServer},
+        {"platform", &Soak::FailPlatform},
+        {"kill_leader", &Soak::KillLeader},
+    };
+    const auto& [name, run] = kFaults[Below(kFaults.size())];
+    ++totals_.faults[name];
+    (this->*run)();
+  }
+
+  void KillNode() {
+    const std::size_t node = AnyNode();
+    cluster_.Kill(node);
+    RestartLater(node);
+  }
+  void KillLeader() {
+    const auto leader = cluster_.LeaderIndex();
+    if (!leader) return;
+    cluster_.Kill(*leader);
+    RestartLater(*leader);
+  }
+  /// At most one disk is lost at a time, and the next only after the group had time to repair
+  /// itself.
+  void LoseDisk() {
+    const std::size_t node = Below(options_.disks);
+    if (DisksDown() > 0 || cluster_.now() < next_disk_loss_) return;
+    next_disk_loss_ = cluster_.now() + 40 * kSecond;
+    cluster_.Kill(node);
+    cluster_.LoseDisk(node);
+    RestartLater(node);
+    // A second VM is lost right after the repair.
+    cluster_.After(25 * kSecond, [this, node] {
+      const std::size_t second = (node + 1) % options_.disks;
+      if (DisksDown() > 0) return;
+      ++totals_.faults["second_loss"];
+      cluster_.Kill(second);
+      RestartLater(second);
+    });
+  }
+  void FreezeNode() { cluster_.Freeze(AnyNode(), static_cast<Micros>(Below(9 * kSecond))); }
+  void IsolateNode() { cluster_.Isolate(AnyNode(), static_cast<Micros>(Below(20 * kSecond))); }
+  void CutOneWay() { cluster_.Cut(AnyNode(), AnyNode(), static_cast<Micros>(Below(10 * kSecond))); }
+  void LossyLinks() {
+    cluster_.set_faults(
+        {.loss = UniformUnit(cluster_.rng()) * 0.2,
+         .duplicate = UniformUnit(cluster_.rng()) * 0.1,
+         .max_delay = 1 * kMillisecond + static_cast<Micros>(Below(60 * kMillisecond))});
+    cluster_.After(8 * kSecond, [this] { cluster_.set_faults({}); });
+  }
+  void ShutdownNode() {
+    const std::size_t node = AnyNode();
+    cluster_.Shutdown(node);
+    cluster_.After(12 * kSecond, [this, node] { cluster_.Start(node); });
+  }
+  void CrashServer() { backend_.Crash(AnyServer(), static_cast<Micros>(Below(10 * kSecond))); }
+  void FailServer() {
+    FakeServer& server = backend_.servers().at(AnyServer());
+    (Below(2) == 0 ? server.fails_everything : server.refuses_everything) = true;
+    cluster_.After(10 * kSecond,
+                   [&server] { server.fails_everything = server.refuses_everything = false; });
+  }
+  void SilenceServer() {
+    backend_.servers().at(AnyServer()).silent_until =
+        cluster_.now() + static_cast<Micros>(Below(12 * kSecond));
+  }
+  void LeaveServer() {
+    FakeServer& server = backend_.servers().at(AnyServer());
+    if (server.leaving_since == 0) server.leaving_since = cluster_.now();
+    cluster_.After(8 * kSecond, [&server] { server.leaving_since = 0; });
+  }
+  void FailPlatform() {
+    backend_.set_platform_failures(0.5);
+    cluster_.After(10 * kSecond, [this] { backend_.set_platform_failures(0); });
+  }
+
+  SoakOptions options_;
+  VirtualCluster cluster_;
+  FakeBackend backend_;
+  FakeOperator operator_;
+  SoakTotals totals_;
+  std::map<TeamId, std::string> keys_;
+  std::deque<Call> calls_;
+  std::map<std::string, int> calls_of_;
+  std::int64_t open_calls_ = 0;
+  std::vector<std::pair<Micros, std::uint64_t>> accepted_;
+  std::map<std::size_t, Micros> behind_since_;
+  std::uint64_t newest_ = 0;
+  std::map<TeamId, Micros> withdrawn_;
+  bool granting_ = false;
+  int key_round_ = 0;
+  int next_marker_ = 0;
+  Micros next_disk_loss_ = 0;
+};
+
+}  // namespace
+
+SoakTotals RunSoak(const SoakOptions& options) { return Soak(options).Run(); }
+
+void Accumulate(SoakTotals& sum, const SoakTotals& run) {
+  sum.requests += run.requests;
+  sum.answered += run.answered;
+  sum.refused_not_run += run.refused_not_run;
+  sum.unknown += run.unknown;
+  sum.starts += run.starts;
+  sum.changes += run.changes;
+  sum.reboots += run.reboots;
+  sum.node_steps += run.node_steps;
+  for (const auto& [name, count] : run.faults) sum.faults[name] += count;
+  sum.violations.insert(sum.violations.end(), run.violations.begin(), run.violations.end());
+}
+
+std::string TotalsLine(const SoakTotals& totals) {
+  std::string line = "requests=" + std::to_string(totals.requests) +
+                     " answered=" + std::to_string(totals.answered) +
+                     " refused_not_run=" + std::to_string(totals.refused_not_run) +
+                     " unknown=" + std::to_string(totals.unknown) +
+                     " starts=" + std::to_string(totals.starts) +
+                     " operator_actions=" + std::to_string(totals.changes) +
+                     " reboots=" + std::to_string(totals.reboots) +
+                     " node_steps=" + std::to_string(totals.node_steps) + " faults{";
+  for (const auto& [name, count] : totals.faults) line += " " + name + "=" + std::to_string(count);
+  return line + " } violations=" + std::to_string(totals.violations.size());
+}
+
+}  // namespace godwitpaddle::testing
