--- /dev/null
+++ b/replication/election.cc
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <tuple>
+
+#include "replication/replica_impl.h"
+
+namespace godwitpaddle::replication {
+
+void Replica::Impl::ResetElectionTimer() {
+  const auto spread = static_cast<std::uint64_t>(options.election_max - options.election_min + 1);
+  election_at = now + options.election_min + static_cast<Micros>(UniformBelow(rng, spread));
+}
+
+void Replica::Impl::TickElection() {
+  if (now < election_at) return;
+  if (leader) {
+    leader.reset();
+    out->leadership_changed = true;
+  }
+  ResetElectionTimer();
+  if (IsVoter(log.membership(), options.id) && options.self.has_disk) StartPreVote();
+}
+
+void Replica::Impl::StartPreVote() {
+  state = State::kPreCandidate;
+  votes = {options.id};
+  RequestVotes({.term = term + 1, .pre_vote = true});
+  CountVotes();
+}
+
+void Replica::Impl::StartElection() {
+  BecomeFollower(term + 1, std::nullopt);
+  state = State::kCandidate;
+  voted_for = options.id;
+  disk.NoteHardState();
+  own_vote_token = disk.CoveringToken(log.last_index());
+  ResetElectionTimer();
+  RequestVotes({.term = term, .pre_vote = false});
+}
+
+void Replica::Impl::RequestVotes(const VoteRequest& request) {
+  VoteRequest full = request;
+  full.last_index = log.last_index();
+  full.last_term = log.last_term();
+  for (const auto& [id, member] : log.membership()) {
+    if (IsSelf(id) || member.role != Role::kVoter) continue;
+    // A vote request claims the log up to its end, so that log has to survive a restart.
+    if (request.pre_vote) {
+      Send(id, full);
+    } else {
+      SendOnceDurable(id, full);
+    }
+  }
+}
+
+bool Replica::Impl::HeardFromLeaderLately() const {
+  return state == State::kLeader || now - leader_contact < options.election_min;
+}
+
+bool Replica::Impl::LogIsUpToDate(const VoteRequest& request) const {
+  return std::tuple(request.last_term, request.last_index) >=
+         std::tuple(log.last_term(), log.last_index());
+}
+
+void Replica::Impl::OnVoteRequest(const ReplicaId& from, const VoteRequest& request) {
+  // A learner with a disk may have been promoted by an entry it has not received yet, so it votes;
+  // a diskless replica cannot keep a promise over a restart.
+  if (!options.self.has_disk) return;
+  const bool refuses = HeardFromLeaderLately();
+  if (request.pre_vote) {
+    const bool granted = !refuses && request.term > term && LogIsUpToDate(request);
+    return Send(from, VoteReply{granted ? request.term : term, true, granted});
+  }
+  if (refuses) return;
+  if (request.term > term) BecomeFollower(request.term, std::nullopt);
+  const bool granted =
+      request.term == term && (voted_for.empty() || voted_for == from) && LogIsUpToDate(request);
+  if (granted && voted_for.empty()) {
+    voted_for = from;
+    disk.NoteHardState();
+  }
+  if (granted) ResetElectionTimer();
+  SendOnceDurable(from, VoteReply{term, false, granted});
+}
+
+void Replica::Impl::OnVoteReply(const ReplicaId& from, const VoteReply& reply) {
+  if (!IsVoter(log.membership(), from)) return;
+  if (!reply.granted) {
+    if (reply.term > term) BecomeFollower(reply.term, std::nullopt);
+    return;
+  }
+  const bool pre_vote = state == State::kPreCandidate && reply.pre_vote && reply.term == term + 1;
+  const bool vote = state == State::kCandidate && !reply.pre_vote && reply.term == term;
+  if (!pre_vote && !vote) return;
+  votes.insert(from);
+  CountVotes();
+}
+
+void Replica::Impl::CountVotes() {
+  const auto count = static_cast<std::size_t>(std::count_if(
+      votes.begin(), votes.end(), [&](const auto& id) { return IsVoter(log.membership(), id); }));
+  if (count < Quorum(log.membership())) return;
+  if (state == State::kPreCandidate) {
+    StartElection();
+  } else if (state == State::kCandidate) {
+    BecomeLeader();
+  }
+}
+
+void Replica::Impl::CountOwnVoteOnceDurable() {
+  if (disk.synced_token() < own_vote_token) return;
+  votes.insert(options.id);
+  CountVotes();
+}
+
+void Replica::Impl::BecomeLeader() {
+  state = State::kLeader;
+  leader = options.id;
+  out->leadership_changed = true;
+  votes.clear();
+  incoming.reset();
+  progress.clear();
+  elected_at = now;
+  term_start = log.last_index() + 1;
+  RefreshProgress();
+  Append(EntryKind::kNoop, {});
+  heartbeat_at = now;
+  TickLeader();
+}
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/replication/follower.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+
+#include "replication/replica_impl.h"
+
+namespace godwitpaddle::replication {
+
+bool Replica::Impl::AcceptLeader(const ReplicaId& from, Term message_term, Micros sent) {
+  if (message_term < term) {
+    Send(from, AppendReply{.term = term, .sent = sent});
+    return false;
+  }
+  if (message_term == term && state == State::kLeader) {
+    throw std::logic_error("two leaders in term " + std::to_string(term) + ": " + from + " and " +
+                           options.id);
+  }
+  if (message_term > term || state != State::kFollower || leader != from) {
+    BecomeFollower(message_term, from);
+  }
+  leader_contact = now;
+  ResetElectionTimer();
+  return true;
+}
+
+void Replica::Impl::OnAppend(const ReplicaId& from, const AppendRequest& request) {
+  for (std::size_t i = 0; i < request.entries.size(); ++i) {
+    if (request.entries[i].index != request.previous_index + 1 + i) return;  // malformed
+  }
+  if (!AcceptLeader(from, request.term, request.sent)) return;
+  if (!request.address.empty()) leader_address = request.address;
+  Index hint = 0;
+  if (!Matches(request, hint)) {
+    return Send(from, AppendReply{.term = term, .match = hint, .sent = request.sent});
+  }
+  StoreEntries(request);
+  verified_match = std::max(verified_match, request.previous_index + request.entries.size());
+  AdvanceCommit(std::min(request.commit, verified_match));
+  due_reply.sent = std::max(due_reply.sent, request.sent);
+  due_reply.unsent = true;
+  // A heartbeat is answered at once, since the lease counts on it.
+  if (request.entries.empty() || disk.durable() >= verified_match) SendAppendReply();
+}
+
+bool Replica::Impl::Matches(const AppendRequest& request, Index& hint) const {
+  const Index previous = request.previous_index;
+  if (previous <= commit) return true;  // committed entries are the same everywhere
+  if (previous > log.last_index()) {
+    hint = log.last_index();
+    return false;
+  }
+  if (log.TermAt(previous) == request.previous_term) return true;
+  // Skips the whole term that conflicts.
+  hint = std::max(commit, log.FirstOfTermAt(previous) - 1);
+  return false;
+}
+
+void Replica::Impl::StoreEntries(const AppendRequest& request) {
+  for (const Entry& entry : request.entries) {
+    if (entry.index <= commit) continue;
+    if (entry.index <= log.last_index()) {
+      if (log.At(entry.index).term == entry.term) continue;
+      log.TruncateFrom(entry.index);
+      disk.NoteTruncate(entry.index);
+    }
+    log.Append(entry);
+  }
+}
+
+void Replica::Impl::SendAppendReply() {
+  if (!leader) return;
+  due_reply.reported = std::min(verified_match, disk.durable());
+  due_reply.unsent = false;
+  Send(*leader,
+       AppendReply{
+           .term = term, .success = true, .match = due_reply.reported, .sent = due_reply.sent});
+}
+
+void Replica::Impl::ReplyOnceSynced() {
+  const Index match = std::min(verified_match, disk.durable());
+  if (match > due_reply.reported || (due_reply.unsent && match >= verified_match)) {
+    SendAppendReply();
+  }
+}
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/replication/leader.cc
@@ -0,0 +1,170 @@
+#include <algorithm>
+#include <functional>
+
+#include "replication/replica_impl.h"
+
+namespace godwitpaddle::replication {
+
+void Replica::Impl::TickLeader() {
+  // Longer than the lease, so that the leader has stopped vouching for its state before.
+  const Micros acked = std::max(QuorumAckedSent(now), elected_at);
+  if (now - acked >= options.election_max) return BecomeFollower(term, std::nullopt);
+  if (now < heartbeat_at) return;
+  heartbeat_at = now + options.heartbeat;
+  for (auto& [id, peer] : progress) Heartbeat(id, peer);
+  MaintainVoters();
+}
+
+void Replica::Impl::Heartbeat(const ReplicaId& id, Progress& peer) {
+  if (peer.mode == FeedMode::kSnapshot) {
+    Send(id, AppendRequest{.term = term,
+                           .sent = now,
+                           .address = peer.match == 0 ? options.self.address : std::string()});
+    // Resends from the last acknowledged chunk once nothing moved for a heartbeat.
+    const bool stuck = now - peer.snapshot_progress >= options.heartbeat;
+    if (stuck && now - peer.last_heard < options.election_max) {
+      peer.snapshot_progress = now;
+      peer.snapshot_sent = peer.snapshot_acked;
+      SendChunks(id, peer);
+    }
+    return;
+  }
+  // Refers to the last entry sent, so that the reply shows whether the entries before it arrived.
+  SendAppend(id, peer, peer.next - 1);
+}
+
+void Replica::Impl::SendAppend(const ReplicaId& id, Progress& peer, Index last) {
+  const Index previous = peer.next - 1;
+  const auto previous_term = log.TermAt(previous);
+  if (!previous_term) return StartSnapshot(id, peer);
+  AppendRequest request{.term = term,
+                        .previous_index = previous,
+                        .previous_term = *previous_term,
+                        .commit = commit,
+                        .sent = now,
+                        .entries = log.Slice(peer.next, last, kMaxAppendBytes)};
+  if (peer.match == 0) request.address = options.self.address;
+  if (!request.entries.empty()) {
+    peer.next = request.entries.back().index + 1;
+    peer.in_flight.push_back(peer.next - 1);
+  }
+  peer.commit_sent = commit;
+  Send(id, std::move(request));
+}
+
+void Replica::Impl::Feed(const ReplicaId& id, Progress& peer) {
+  while (peer.mode == FeedMode::kReplicate && peer.next <= log.last_index() &&
+         peer.in_flight.size() < kMaxInFlight) {
+    SendAppend(id, peer, log.last_index());
+  }
+  // Members apply when they learn the commit index, so that is sent at once.
+  if (peer.mode == FeedMode::kReplicate && peer.commit_sent < commit) {
+    SendAppend(id, peer, peer.next - 1);
+  }
+}
+
+void Replica::Impl::FeedAll() {
+  for (auto& [id, peer] : progress) Feed(id, peer);
+}
+
+Progress* Replica::Impl::Acknowledged(const ReplicaId& from, Term reply_term, Micros sent) {
+  if (state != State::kLeader) return nullptr;
+  const auto it = progress.find(from);
+  if (it == progress.end()) return nullptr;
+  if (reply_term > term) {
+    BecomeFollower(reply_term, std::nullopt);
+    return nullptr;
+  }
+  if (reply_term < term) return nullptr;
+  Progress& peer = it->second;
+  peer.acked_sent = std::max(peer.acked_sent, sent);
+  peer.last_heard = now;
+  return &peer;
+}
+
+void Replica::Impl::OnAppendReply(const ReplicaId& from, const AppendReply& reply) {
+  Progress* peer = Acknowledged(from, reply.term, reply.sent);
+  if (peer == nullptr) return;
+  if (!reply.success) return OnRejected(from, *peer, reply);
+  if (reply.match > log.last_index()) return;
+  const bool advanced = reply.match > peer->match;
+  if (peer->mode != FeedMode::kSnapshot) {
+    peer->Acknowledge(reply.match);
+    if (peer->mode == FeedMode::kProbe && reply.sent >= peer->probe_sent) {
+      peer->mode = FeedMode::kReplicate;
+    }
+  }
+  if (advanced) {
+    UpdateCommit();
+    // The step above may have changed the members or ended the leadership.
+    const auto it = progress.find(from);
+    if (it == progress.end()) return;
+    peer = &it->second;
+  }
+  Feed(from, *peer);
+}
+
+void Replica::Impl::OnRejected(const ReplicaId& from, Progress& peer, const AppendReply& reply) {
+  // Late rejections say nothing new: the logs are known to agree up to `match`, and a probe that
+  // was sent since then has its own answer.
+  if (peer.mode == FeedMode::kSnapshot || reply.match < peer.match) return;
+  if (reply.sent < peer.probe_sent || reply.match + 1 >= peer.next) return;
+  peer.Probe(reply.match + 1);
+  peer.probe_sent = now;
+  SendAppend(from, peer, peer.next - 1);
+}
+
+void Replica::Impl::UpdateCommit() {
+  std::vector<Index> matches;
+  for (const auto& [id, member] : log.membership()) {
+    if (member.role != Role::kVoter) continue;
+    const auto it = progress.find(id);
+    if (IsSelf(id)) matches.push_back(disk.durable());
+    if (it != progress.end()) matches.push_back(it->second.match);
+  }
+  const std::size_t quorum = Quorum(log.membership());
+  if (matches.size() < quorum) return;
+  std::nth_element(matches.begin(), matches.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
+                   matches.end(), std::greater<>());
+  const Index agreed = matches[quorum - 1];
+  // Entries of earlier terms are committed only through one of this term.
+  if (agreed <= commit || agreed < term_start) return;
+  const bool membership_committed =
+      log.membership_index() > commit && log.membership_index() <= agreed;
+  AdvanceCommit(agreed);
+  FeedAll();
+  if (!IsVoter(log.membership(), options.id) && log.membership_index() <= commit) {
+    return BecomeFollower(term, std::nullopt);
+  }
+  if (membership_committed) MaintainVoters();
+}
+
+Micros Replica::Impl::QuorumAckedSent(Micros time) const {
+  std::vector<Micros> acked;
+  for (const auto& [id, member] : log.membership()) {
+    if (member.role != Role::kVoter) continue;
+    const auto it = progress.find(id);
+    if (IsSelf(id)) acked.push_back(time);
+    if (it != progress.end()) acked.push_back(it->second.acked_sent);
+  }
+  const std::size_t quorum = Quorum(log.membership());
+  if (acked.size() < quorum) return kNever;
+  std::nth_element(acked.begin(), acked.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
+                   acked.end(), std::greater<>());
+  return acked[quorum - 1];
+}
+
+void Replica::Impl::RefreshProgress() {
+  const Membership& members = log.membership();
+  std::erase_if(progress, [&](const auto& peer) { return !members.contains(peer.first); });
+  for (const auto& [id, member] : members) {
+    if (IsSelf(id)) continue;
+    const auto [it, added] = progress.try_emplace(id);
+    it->second.address = member.address;
+    if (!added) continue;
+    it->second.next = log.last_index() + 1;
+    it->second.last_heard = now;
+  }
+}
+
+}  // namespace godwitpaddle::replication
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -74,7 +74,8 @@
   Index commit = 0;
   std::int64_t sent = 0;
   std::vector<Entry> entries;
-  MSGPACK_DEFINE(term, previous_index, previous_term, commit, sent, entries)
+  std::string address;  // of the leader, for a member that has no membership yet; else empty
+  MSGPACK_DEFINE(term, previous_index, previous_term, commit, sent, entries, address)
 };
 
 struct AppendReply {
--- /dev/null
+++ b/replication/replica.cc
@@ -0,0 +1,218 @@
+#include "replication/replica.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "replication/replica_impl.h"
+
+namespace godwitpaddle::replication {
+
+Replica::Impl::Impl(ReplicaOptions opts, StoredState stored, Micros time)
+    : options(std::move(opts)), rng(options.seed), now(time), leader_contact(time) {
+  term = stored.term;
+  voted_for = stored.voted_for;
+  if (stored.snapshot) {
+    snapshot = std::make_shared<const Snapshot>(std::move(*stored.snapshot));
+    log.Reset(snapshot->index, snapshot->term, snapshot->membership);
+    commit = snapshot->index;
+    install_stored = true;
+  }
+  for (Entry& entry : stored.log) log.Append(std::move(entry));
+  disk = DiskQueue(log.last_index());
+  // An entry may have reached the disk in a torn batch without its term.
+  if (log.last_term() > term) {
+    term = log.last_term();
+    voted_for.clear();
+    disk.NoteHardState();
+  }
+  next_snapshot_at = commit + options.snapshot_every;
+  ResetElectionTimer();
+}
+
+void Replica::Impl::Begin(Micros time, Effects& effects) {
+  now = std::max(now, time);
+  out = &effects;
+  if (install_stored) {
+    install_stored = false;
+    effects.install = *snapshot;
+  }
+}
+
+void Replica::Impl::End() {
+  if (auto batch = disk.Take(log, term, voted_for)) out->persist = std::move(batch);
+  out = nullptr;
+}
+
+void Replica::Impl::Dispatch(const ReplicaId& from, const Message& message) {
+  if (IsSelf(from)) return;
+  if (const auto* vote = std::get_if<VoteRequest>(&message)) return OnVoteRequest(from, *vote);
+  if (const auto* vote = std::get_if<VoteReply>(&message)) return OnVoteReply(from, *vote);
+  if (const auto* append = std::get_if<AppendRequest>(&message)) return OnAppend(from, *append);
+  if (const auto* reply = std::get_if<AppendReply>(&message)) return OnAppendReply(from, *reply);
+  if (const auto* chunk = std::get_if<SnapshotChunk>(&message))
+    return OnSnapshotChunk(from, *chunk);
+  OnSnapshotReply(from, std::get<SnapshotReply>(message));
+}
+
+void Replica::Impl::Synced(std::uint64_t token) {
+  if (!disk.Synced(token)) return;
+  const auto ready = std::stable_partition(
+      held.begin(), held.end(), [&](const auto& item) { return item.first > disk.synced_token(); });
+  for (auto it = ready; it != held.end(); ++it) out->send.push_back(std::move(it->second));
+  held.erase(ready, held.end());
+  if (state == State::kLeader) UpdateCommit();
+  if (state == State::kCandidate) CountOwnVoteOnceDurable();
+  if (state == State::kFollower) ReplyOnceSynced();
+}
+
+void Replica::Impl::BecomeFollower(Term new_term, std::optional<ReplicaId> new_leader) {
+  const std::optional<ReplicaId> old_leader = leader;
+  if (state == State::kLeader) {
+    progress.clear();
+    leader.reset();
+    ResetElectionTimer();
+  }
+  if (new_term > term) {
+    term = new_term;
+    voted_for.clear();
+    disk.NoteHardState();
+    // What the held messages promise may be overwritten before it reaches the disk.
+    held.clear();
+    due_reply = {};
+    incoming.reset();
+    verified_match = 0;
+    leader.reset();
+  }
+  state = State::kFollower;
+  votes.clear();
+  if (new_leader) leader = std::move(new_leader);
+  if (leader != old_leader) out->leadership_changed = true;
+}
+
+std::string Replica::Impl::AddressOf(const ReplicaId& to) const {
+  const auto member = log.membership().find(to);
+  if (member != log.membership().end()) return member->second.address;
+  const auto peer = progress.find(to);
+  if (peer != progress.end()) return peer->second.address;
+  return to == leader ? leader_address : std::string();
+}
+
+void Replica::Impl::Send(const ReplicaId& to, Message message) {
+  out->send.push_back({to, AddressOf(to), std::move(message)});
+}
+
+void Replica::Impl::SendOnceDurable(const ReplicaId& to, Message message) {
+  const std::uint64_t token = disk.CoveringToken(log.last_index());
+  if (token == 0) return Send(to, std::move(message));
+  held.emplace_back(token, Envelope{to, AddressOf(to), std::move(message)});
+}
+
+void Replica::Impl::AdvanceCommit(Index index) {
+  for (; commit < index; ++commit) out->committed.push_back(log.At(commit + 1));
+  if (commit >= next_snapshot_at) {
+    out->wants_snapshot = true;
+    next_snapshot_at = commit + options.snapshot_every;
+  }
+}
+
+void Replica::Impl::Append(EntryKind kind, std::string payload) {
+  log.Append({term, log.last_index() + 1, kind, std::move(payload)});
+}
+
+Replica::Replica(ReplicaOptions options, StoredState stored, Micros now)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(stored), now)) {}
+
+Replica::~Replica() = default;
+
+void Replica::Bootstrap(Micros now, Effects& effects) {
+  Impl& impl = *impl_;
+  if (impl.term != 0 || impl.log.last_index() != 0 || !impl.options.self.has_disk) {
+    throw std::logic_error("bootstrap needs an empty replica with a disk");
+  }
+  impl.Begin(now, effects);
+  impl.term = 1;
+  impl.voted_for = impl.options.id;
+  impl.disk.NoteHardState();
+  Member self = impl.options.self;
+  self.role = Role::kVoter;
+  impl.Append(EntryKind::kMembership, Encode(Membership{{impl.options.id, self}}));
+  impl.BecomeLeader();
+  impl.End();
+}
+
+void Replica::Tick(Micros now, Effects& effects) {
+  impl_->Begin(now, effects);
+  if (impl_->state == State::kLeader) {
+    impl_->TickLeader();
+  } else {
+    impl_->TickElection();
+  }
+  impl_->End();
+}
+
+void Replica::Receive(const ReplicaId& from, const Message& message, Micros now, Effects& effects) {
+  impl_->Begin(now, effects);
+  impl_->Dispatch(from, message);
+  impl_->End();
+}
+
+void Replica::Synced(std::uint64_t token, Micros now, Effects& effects) {
+  impl_->Begin(now, effects);
+  impl_->Synced(token);
+  impl_->End();
+}
+
+std::optional<Index> Replica::Propose(std::vector<std::string> payloads, Micros now,
+                                      Effects& effects) {
+  if (!is_leader()) return std::nullopt;
+  impl_->Begin(now, effects);
+  const Index first = impl_->log.last_index() + 1;
+  for (std::string& payload : payloads) {
+    impl_->Append(EntryKind::kCommand, std::move(payload));
+  }
+  impl_->FeedAll();
+  impl_->End();
+  return first;
+}
+
+bool Replica::AddLearner(const ReplicaId& id, const Member& member, Micros now, Effects& effects) {
+  impl_->Begin(now, effects);
+  const bool done = impl_->AddLearner(id, member);
+  impl_->End();
+  return done;
+}
+
+bool Replica::Remove(const ReplicaId& id, Micros now, Effects& effects) {
+  impl_->Begin(now, effects);
+  const bool done = impl_->Remove(id);
+  impl_->End();
+  return done;
+}
+
+void Replica::Compact(Index index, std::string state, Effects& effects) {
+  impl_->Begin(impl_->now, effects);
+  impl_->Compact(index, std::move(state));
+  impl_->End();
+}
+
+bool Replica::is_leader() const { return impl_->state == State::kLeader; }
+
+bool Replica::HoldsLease(Micros now) const {
+  return is_leader() && now - impl_->QuorumAckedSent(now) < impl_->options.leader_lease;
+}
+
+bool Replica::KnowsCommit() const { return is_leader() && impl_->commit >= impl_->term_start; }
+
+Term Replica::term() const { return impl_->term; }
+
+std::optional<ReplicaId> Replica::leader() const { return impl_->leader; }
+
+Index Replica::commit_index() const { return impl_->commit; }
+
+Index Replica::last_index() const { return impl_->log.last_index(); }
+
+const Membership& Replica::membership() const { return impl_->log.membership(); }
+
+bool Replica::is_member() const { return membership().contains(impl_->options.id); }
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/replication/replica_impl.h
@@ -0,0 +1,154 @@
+#ifndef GODWITPADDLE_REPLICATION_REPLICA_IMPL_H_
+#define GODWITPADDLE_REPLICATION_REPLICA_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "replication/disk_queue.h"
+#include "replication/log.h"
+#include "replication/membership.h"
+#include "replication/progress.h"
+#include "replication/replica.h"
+
+namespace godwitpaddle::replication {
+
+/// Entries of one append message, and data of one snapshot chunk.
+inline constexpr std::size_t kMaxAppendBytes = 256 * 1024;
+inline constexpr std::size_t kSnapshotChunkBytes = 64 * 1024;
+/// Append messages that may be unacknowledged per member.
+inline constexpr std::size_t kMaxInFlight = 16;
+/// Chunks of a snapshot sent ahead of the acknowledged ones; covers a round trip between regions.
+inline constexpr std::size_t kSnapshotWindowBytes = 4 * kSnapshotChunkBytes;
+/// A learner this close to the commit index counts as caught up: less than what arrives within a
+/// round trip under load.
+inline constexpr Index kCaughtUpEntries = 256;
+
+enum class State : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+
+/// Reply to an append that waits for the disk. Only the newest one is kept, since it covers the
+/// earlier ones.
+struct DueAppendReply {
+  Micros sent = 0;     // of the newest message from the leader
+  Index reported = 0;  // match of the last reply
+  bool unsent = false;
+};
+
+/// Snapshot that arrives in chunks.
+struct IncomingSnapshot {
+  ReplicaId from;
+  Snapshot snapshot;  // its state grows chunk by chunk
+};
+
+struct Replica::Impl {
+  Impl(ReplicaOptions options, StoredState stored, Micros now);
+
+  // replica.cc: steps and what all states share.
+  void Begin(Micros time, Effects& effects);
+  void End();
+  void Dispatch(const ReplicaId& from, const Message& message);
+  void Synced(std::uint64_t token);
+  void BecomeFollower(Term new_term, std::optional<ReplicaId> new_leader);
+  void Send(const ReplicaId& to, Message message);
+  void SendOnceDurable(const ReplicaId& to, Message message);
+  void AdvanceCommit(Index index);
+  void Append(EntryKind kind, std::string payload);
+  std::string AddressOf(const ReplicaId& to) const;
+  bool IsSelf(const ReplicaId& id) const { return id == options.id; }
+
+  // election.cc
+  void ResetElectionTimer();
+  void TickElection();
+  void StartPreVote();
+  void StartElection();
+  void RequestVotes(const VoteRequest& request);
+  bool HeardFromLeaderLately() const;
+  bool LogIsUpToDate(const VoteRequest& request) const;
+  void OnVoteRequest(const ReplicaId& from, const VoteRequest& request);
+  void OnVoteReply(const ReplicaId& from, const VoteReply& reply);
+  void CountVotes();
+  void CountOwnVoteOnceDurable();
+  void BecomeLeader();
+
+  // leader.cc
+  void TickLeader();
+  void Heartbeat(const ReplicaId& id, Progress& progress);
+  void SendAppend(const ReplicaId& id, Progress& progress, Index last);
+  void Feed(const ReplicaId& id, Progress& progress);
+  void FeedAll();
+  void OnAppendReply(const ReplicaId& from, const AppendReply& reply);
+  void OnRejected(const ReplicaId& from, Progress& progress, const AppendReply& reply);
+  Progress* Acknowledged(const ReplicaId& from, Term reply_term, Micros sent);
+  void UpdateCommit();
+  Micros QuorumAckedSent(Micros time) const;
+  void RefreshProgress();
+
+  // follower.cc
+  bool AcceptLeader(const ReplicaId& from, Term message_term, Micros sent);
+  void OnAppend(const ReplicaId& from, const AppendRequest& request);
+  bool Matches(const AppendRequest& request, Index& hint) const;
+  void StoreEntries(const AppendRequest& request);
+  void SendAppendReply();
+  void ReplyOnceSynced();
+
+  // snapshot.cc
+  void Compact(Index index, std::string state);
+  void StartSnapshot(const ReplicaId& id, Progress& progress);
+  void SendChunks(const ReplicaId& id, Progress& progress);
+  void OnSnapshotChunk(const ReplicaId& from, const SnapshotChunk& chunk);
+  void OnSnapshotReply(const ReplicaId& from, const SnapshotReply& reply);
+  void Install(Snapshot received);
+  Index TailStart(Index snapshot_index) const;
+
+  // change.cc: membership changes by the leader.
+  bool CanChangeMembership() const;
+  void ChangeMembership(const Membership& next);
+  void MaintainVoters();
+  MemberSigns Signs() const;
+  bool AddLearner(const ReplicaId& id, const Member& member);
+  bool Remove(const ReplicaId& id);
+
+  ReplicaOptions options;
+  Rng rng;
+  Micros now = 0;
+  Effects* out = nullptr;  // of the step under way
+
+  State state = State::kFollower;
+  Term term = 0;
+  ReplicaId voted_for;
+  std::optional<ReplicaId> leader;
+  Index commit = 0;
+  Log log;
+  std::shared_ptr<const Snapshot> snapshot;
+  Index next_snapshot_at = 0;
+  bool install_stored = false;  // the stored snapshot has not been handed out yet
+  DiskQueue disk;
+  std::vector<std::pair<std::uint64_t, Envelope>> held;  // messages that wait for a batch
+
+  // Elections.
+  Micros leader_contact = 0;  // the start counts: the leader may have been heard just before it
+  Micros election_at = 0;
+  std::set<ReplicaId> votes;
+  std::uint64_t own_vote_token = 0;
+
+  // Follower.
+  Index verified_match = 0;    // the log equals the leader's up to here
+  std::string leader_address;  // for a leader that is not in the membership known here
+  DueAppendReply due_reply;
+  std::optional<IncomingSnapshot> incoming;
+
+  // Leader.
+  std::map<ReplicaId, Progress> progress;
+  Index term_start = 0;
+  Micros elected_at = 0;
+  Micros heartbeat_at = 0;
+};
+
+}  // namespace godwitpaddle::replication
+
+#endif  // GODWITPADDLE_REPLICATION_REPLICA_IMPL_H_
--- /dev/null
+++ b/replication/storage.cc
@@ -0,0 +1,309 @@
+#include "replication/storage.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <map>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "replication/file_io.h"
+
+namespace godwitpaddle::replication {
+namespace {
+
+constexpr std::string_view kLockName = "lock";
+constexpr std::string_view kIdentityName = "identity";
+constexpr std::string_view kHardStateName = "hard_state";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+constexpr std::string_view kSegmentPrefix = "log-";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+/// A segment is closed at this size, so that a snapshot frees the space before it.
+constexpr std::size_t kSegmentBytes = 8 * 1024 * 1024;
+
+/// What one batch changes in the log; one frame.
+struct LogRecord {
+  Index truncate_from = 0;  // 0: nothing is dropped
+  std::vector<Entry> entries;
+  MSGPACK_DEFINE(truncate_from, entries)
+};
+
+struct HardState {
+  Term term = 0;
+  ReplicaId voted_for;
+  MSGPACK_DEFINE(term, voted_for)
+};
+
+[[noreturn]] void Damaged(const std::string& path, std::size_t offset, const std::string& what) {
+  throw StorageError(path + ": damaged at offset " + std::to_string(offset) + ": " + what);
+}
+
+std::string NumberedName(std::string_view prefix, std::uint64_t number) {
+  std::array<char, 24> digits{};
+  std::snprintf(digits.data(), digits.size(), "%020llu", static_cast<unsigned long long>(number));
+  return std::string(prefix) + digits.data();
+}
+
+template <typename T>
+T DecodePayload(const std::string& path, std::size_t offset, std::string_view payload) {
+  try {
+    return Decode<T>(payload);
+  } catch (const DecodeError& error) {
+    Damaged(path, offset, error.what());
+  }
+}
+
+/// Reads a file that holds one frame.
+template <typename T>
+T ReadWhole(const std::string& path) {
+  const std::string bytes = File(path, O_RDONLY).ReadAll();
+  const auto payload = FrameAt(bytes, 0);
+  if (!payload || kFrameHeaderBytes + payload->size() != bytes.size()) {
+    Damaged(path, 0, "checksum or length is wrong");
+  }
+  return DecodePayload<T>(path, 0, *payload);
+}
+
+std::string RandomId() {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::random_device random;
+  std::string id;
+  for (int i = 0; i < 32; ++i) id.push_back(kDigits[random() % kDigits.size()]);
+  return id;
+}
+
+struct Segment {
+  std::uint64_t number = 0;
+  Index max_index = 0;  // highest index that a record in it has
+};
+
+}  // namespace
+
+struct FileStorage::Impl {
+  explicit Impl(const std::string& data_folder);
+
+  std::string Path(std::string_view name) const { return folder + "/" + std::string(name); }
+  void Scan();
+  void LoadIdentity();
+  void LoadState();
+  void ReplaySegment(Segment& segment, bool is_last);
+  void Replay(const std::string& path, std::size_t offset, LogRecord record);
+  void DropWhatSnapshotCovers();
+  void WriteSnapshot(const Snapshot& snapshot);
+  void AppendRecord(const PersistBatch& batch);
+  void StartSegment();
+
+  std::string folder;
+  File lock;
+  bool has_identity = false;
+  bool has_hard_state = false;
+  ReplicaId id;
+  StoredState stored;
+  Index snapshot_index = 0;
+  std::vector<std::uint64_t> snapshots;  // indexes of the snapshot files, ascending
+  std::vector<Segment> segments;         // ascending; the last one is written to
+  std::optional<File> segment;
+  std::size_t segment_bytes = 0;
+};
+
+namespace {
+
+File OpenLock(const std::string& folder) {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  if (error) throw StorageError(folder + ": create: " + error.message());
+  File file(folder + "/" + std::string(kLockName), O_RDWR | O_CREAT);
+  if (!file.TryLock()) throw StorageError(folder + ": in use by another process");
+  return file;
+}
+
+}  // namespace
+
+FileStorage::Impl::Impl(const std::string& data_folder)
+    : folder(data_folder), lock(OpenLock(data_folder)) {
+  Scan();
+  LoadIdentity();
+  LoadState();
+  if (segments.empty()) {
+    StartSegment();
+  } else {
+    segment.emplace(Path(NumberedName(kSegmentPrefix, segments.back().number)),
+                    O_WRONLY | O_APPEND);
+    // What was read may still be in the page cache only.
+    segment->Sync();
+    SyncFolder(folder);
+  }
+}
+
+void FileStorage::Impl::Scan() {
+  std::error_code error;
+  for (const auto& file : std::filesystem::directory_iterator(folder, error)) {
+    const std::string name = file.path().filename();
+    if (name.ends_with(kTemporarySuffix)) {
+      std::filesystem::remove(file.path(), error);
+    } else if (name.starts_with(kSnapshotPrefix)) {
+      snapshots.push_back(std::stoull(name.substr(kSnapshotPrefix.size())));
+    } else if (name.starts_with(kSegmentPrefix)) {
+      segments.push_back({.number = std::stoull(name.substr(kSegmentPrefix.size()))});
+    }
+    has_identity = has_identity || name == kIdentityName;
+    has_hard_state = has_hard_state || name == kHardStateName;
+  }
+  if (error) throw StorageError(folder + ": read: " + error.message());
+  std::sort(snapshots.begin(), snapshots.end());
+  std::sort(segments.begin(), segments.end(),
+            [](const Segment& a, const Segment& b) { return a.number < b.number; });
+}
+
+void FileStorage::Impl::LoadIdentity() {
+  if (has_identity) {
+    id = ReadWhole<std::string>(Path(kIdentityName));
+    return;
+  }
+  if (has_hard_state || !snapshots.empty() || !segments.empty()) {
+    throw StorageError(Path(kIdentityName) + ": missing, but the folder holds data");
+  }
+  id = RandomId();
+  ReplaceFile(folder, std::string(kIdentityName), EncodeFrame(Encode(id)));
+}
+
+void FileStorage::Impl::LoadState() {
+  if (has_hard_state) {
+    HardState state = ReadWhole<HardState>(Path(kHardStateName));
+    stored.term = state.term;
+    stored.voted_for = std::move(state.voted_for);
+  }
+  if (!snapshots.empty()) {
+    stored.snapshot = ReadWhole<Snapshot>(Path(NumberedName(kSnapshotPrefix, snapshots.back())));
+    snapshot_index = stored.snapshot->index;
+  }
+  for (std::size_t i = 0; i < segments.size(); ++i) {
+    if (i > 0 && segments[i].number != segments[i - 1].number + 1) {
+      throw StorageError(Path(NumberedName(kSegmentPrefix, segments[i - 1].number + 1)) +
+                         ": missing");
+    }
+    ReplaySegment(segments[i], i + 1 == segments.size());
+  }
+  DropWhatSnapshotCovers();
+}
+
+void FileStorage::Impl::ReplaySegment(Segment& entry, bool is_last) {
+  const std::string path = Path(NumberedName(kSegmentPrefix, entry.number));
+  File file(path, O_RDWR);
+  const std::string bytes = file.ReadAll();
+  std::size_t offset = 0;
+  while (offset < bytes.size()) {
+    const auto payload = FrameAt(bytes, offset);
+    if (!payload) {
+      if (!is_last || !IsTornTail(bytes, offset)) Damaged(path, offset, "checksum is wrong");
+      file.Truncate(offset);
+      file.Sync();
+      break;
+    }
+    auto record = DecodePayload<LogRecord>(path, offset, *payload);
+    if (!record.entries.empty()) {
+      entry.max_index = std::max(entry.max_index, record.entries.back().index);
+    }
+    Replay(path, offset, std::move(record));
+    offset += kFrameHeaderBytes + payload->size();
+  }
+  segment_bytes = offset;
+}
+
+void FileStorage::Impl::Replay(const std::string& path, std::size_t offset, LogRecord record) {
+  std::vector<Entry>& log = stored.log;
+  if (record.truncate_from != 0) {
+    while (!log.empty() && log.back().index >= record.truncate_from) log.pop_back();
+  }
+  for (Entry& entry : record.entries) {
+    const bool follows = !log.empty() && entry.index == log.back().index + 1;
+    if (!follows) {
+      // A snapshot may reach beyond the entries that were written before it.
+      if (entry.index > snapshot_index + 1) Damaged(path, offset, "entries are missing before it");
+      log.clear();
+    }
+    log.push_back(std::move(entry));
+  }
+}
+
+void FileStorage::Impl::DropWhatSnapshotCovers() {
+  std::vector<Entry>& log = stored.log;
+  if (log.empty() || !stored.snapshot) return;
+  const auto at = std::find_if(log.begin(), log.end(),
+                               [&](const Entry& entry) { return entry.index >= snapshot_index; });
+  // A log of another history than the snapshot was about to be dropped.
+  const bool conflicts =
+      at != log.end() && at->index == snapshot_index && at->term != stored.snapshot->term;
+  if (conflicts) {
+    log.clear();
+  } else {
+    std::erase_if(log, [&](const Entry& entry) { return entry.index <= snapshot_index; });
+  }
+}
+
+void FileStorage::Impl::StartSegment() {
+  const std::uint64_t number = segments.empty() ? 1 : segments.back().number + 1;
+  segment.emplace(Path(NumberedName(kSegmentPrefix, number)),
+                  O_WRONLY | O_CREAT | O_EXCL | O_APPEND);
+  segment_bytes = 0;
+  segments.push_back({.number = number});
+  SyncFolder(folder);
+}
+
+void FileStorage::Impl::WriteSnapshot(const Snapshot& snapshot) {
+  ReplaceFile(folder, NumberedName(kSnapshotPrefix, snapshot.index), EncodeFrame(Encode(snapshot)));
+  std::error_code ignored;  // a file that stays is removed after the next snapshot
+  for (const std::uint64_t old : snapshots) {
+    if (old != snapshot.index) {
+      std::filesystem::remove(Path(NumberedName(kSnapshotPrefix, old)), ignored);
+    }
+  }
+  snapshots = {snapshot.index};
+  snapshot_index = snapshot.index;
+}
+
+void FileStorage::Impl::AppendRecord(const PersistBatch& batch) {
+  LogRecord record{.truncate_from = batch.truncate_from.value_or(0), .entries = batch.append};
+  const std::string frame = EncodeFrame(Encode(record));
+  segment->Write(frame);
+  segment->Sync();
+  segment_bytes += frame.size();
+  if (!batch.append.empty()) {
+    segments.back().max_index = std::max(segments.back().max_index, batch.append.back().index);
+  }
+}
+
+FileStorage::FileStorage(const std::string& folder) : impl_(std::make_unique<Impl>(folder)) {}
+
+FileStorage::~FileStorage() = default;
+
+const ReplicaId& FileStorage::replica_id() const { return impl_->id; }
+
+StoredState FileStorage::TakeStored() { return std::exchange(impl_->stored, {}); }
+
+void FileStorage::Write(const PersistBatch& batch) {
+  Impl& impl = *impl_;
+  if (batch.hard_state) {
+    const HardState state{batch.hard_state->first, batch.hard_state->second};
+    ReplaceFile(impl.folder, std::string(kHardStateName), EncodeFrame(Encode(state)));
+  }
+  if (batch.snapshot) impl.WriteSnapshot(*batch.snapshot);
+  if (batch.truncate_from || !batch.append.empty()) impl.AppendRecord(batch);
+  if (batch.snapshot || impl.segment_bytes >= kSegmentBytes) impl.StartSegment();
+  if (!batch.snapshot) return;
+  // Oldest first, so that what remains is a run without gaps.
+  std::error_code ignored;
+  while (impl.segments.size() > 1 && impl.segments.front().max_index <= impl.snapshot_index) {
+    std::filesystem::remove(impl.Path(NumberedName(kSegmentPrefix, impl.segments.front().number)),
+                            ignored);
+    impl.segments.erase(impl.segments.begin());
+  }
+}
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/tests/replication_cluster.cc
@@ -0,0 +1,400 @@
+#include "tests/replication_cluster.h"
+
+#include <algorithm>
+#include <exception>
+
+namespace godwitpaddle::replication {
+namespace {
+
+constexpr Micros kTick = 20 * kMillisecond;
+constexpr std::size_t kTraceLines = 400;
+
+std::uint64_t Mix(std::uint64_t digest, const Entry& entry) {
+  std::uint64_t value = std::hash<std::string>()(entry.payload);
+  value ^= entry.index * 0x9E3779B97F4A7C15ULL + static_cast<std::uint64_t>(entry.kind);
+  return (digest ^ value) * 0xBF58476D1CE4E5B9ULL + 1;
+}
+
+}  // namespace
+
+void SimDisk::Apply(const PersistBatch& batch) {
+  if (batch.hard_state) std::tie(stored.term, stored.voted_for) = *batch.hard_state;
+  auto& log = stored.log;
+  if (batch.snapshot) {
+    stored.snapshot = batch.snapshot;
+    const auto at = std::find_if(log.begin(), log.end(),
+                                 [&](const Entry& e) { return e.index == batch.snapshot->index; });
+    // FileStorage drops a log of another history at the next start.
+    if (at != log.end() && at->term != batch.snapshot->term) log.clear();
+    std::erase_if(log, [&](const Entry& e) { return e.index <= batch.snapshot->index; });
+  }
+  if (batch.truncate_from) {
+    std::erase_if(log, [&](const Entry& e) { return e.index >= *batch.truncate_from; });
+  }
+  log.insert(log.end(), batch.append.begin(), batch.append.end());
+}
+
+void SimDisk::Tear(Rng& rng) {
+  if (!pending) return;
+  PersistBatch kept{.token = pending->token};
+  // Parts reach the disk in the order of the batch; any number of them may be lost.
+  const auto parts = UniformBelow(rng, 4);
+  if (parts > 0) kept.hard_state = pending->hard_state;
+  if (parts > 1) kept.snapshot = pending->snapshot;
+  if (parts > 2) {
+    kept.truncate_from = pending->truncate_from;
+    const auto count = UniformBelow(rng, pending->append.size() + 1);
+    kept.append.assign(pending->append.begin(),
+                       pending->append.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  Apply(kept);
+  pending.reset();
+}
+
+Cluster::Cluster(Options options) : options_(options), rng_(options.seed) {
+  for (int i = 0; i < options.disks + options.diskless; ++i) {
+    SimNode node{.name = "n" + std::to_string(i)};
+    node.self = {.node = node.name,
+                 .zone = "z" + std::to_string(i % options.zones),
+                 .address = node.name,
+                 .has_disk = i < options.disks};
+    node.clock_offset = static_cast<Micros>(UniformBelow(rng_, 1'000 * kSecond));
+    nodes_.push_back(std::move(node));
+  }
+}
+
+void Cluster::Start() {
+  for (int i = 0; i < size(); ++i) Restart(i);
+  Effects effects;
+  nodes_[0].replica->Bootstrap(LocalNow(nodes_[0]), effects);
+  HandleEffects(0, effects);
+}
+
+void Cluster::At(Micros time, std::function<void()> run) {
+  events_.push({time, order_++, std::move(run)});
+}
+
+void Cluster::OnNode(int node, std::uint64_t life, Micros time,
+                     std::function<void(SimNode&)> step) {
+  At(time, [this, node, life, step = std::move(step)]() mutable {
+    SimNode& target = nodes_[node];
+    if (!target.replica || target.life != life) return;
+    if (target.frozen_until > now_) {
+      return OnNode(node, life, target.frozen_until, std::move(step));
+    }
+    step(target);
+  });
+}
+
+void Cluster::Step() {
+  if (events_.empty()) return;
+  Event event = events_.top();
+  events_.pop();
+  now_ = event.at;
+  ++steps_;
+  try {
+    event.run();
+  } catch (const std::exception& error) {
+    Violation(error.what());
+  }
+  Check();
+}
+
+void Cluster::RunFor(Micros duration) {
+  const Micros end = now_ + duration;
+  while (!events_.empty() && events_.top().at <= end) Step();
+  now_ = end;
+}
+
+bool Cluster::RunUntil(const std::function<bool()>& done, Micros limit) {
+  const Micros end = now_ + limit;
+  while (now_ < end) {
+    if (done()) return true;
+    RunFor(10 * kMillisecond);
+  }
+  return done();
+}
+
+void Cluster::Launch(int index) {
+  SimNode& node = nodes_[index];
+  if (node.id.empty() || !node.self.has_disk) {
+    node.id = node.name + "." + std::to_string(++node.lives);
+  }
+  ReplicaOptions options{.id = node.id,
+                         .self = node.self,
+                         .seed = rng_(),
+                         .voter_target = options_.voter_target,
+                         .snapshot_every = options_.snapshot_every};
+  node.state = {.padding = std::string(options_.state_padding, 'p')};
+  node.frozen_until = 0;
+  node.life = ++lives_;
+  node.replica = std::make_unique<Replica>(options, node.disk.stored, LocalNow(node));
+  Tick(index, node.life);
+}
+
+void Cluster::Restart(int index) {
+  Trace("restart " + nodes_[index].name);
+  Launch(index);
+}
+
+void Cluster::Crash(int index, bool torn) {
+  SimNode& node = nodes_[index];
+  Trace("crash " + node.id);
+  node.replica.reset();
+  if (torn) node.disk.Tear(rng_);
+  node.disk.pending.reset();
+  if (!node.self.has_disk) node.disk = {};
+}
+
+void Cluster::LoseDisk(int index) {
+  Trace("lose disk of " + nodes_[index].id);
+  nodes_[index].disk = {};
+  nodes_[index].id.clear();
+}
+
+void Cluster::Freeze(int index, Micros duration) {
+  Trace("freeze " + nodes_[index].id);
+  nodes_[index].frozen_until = now_ + duration;
+}
+
+void Cluster::Cut(int from, int to, Micros until) { cuts_[{from, to}] = until; }
+
+void Cluster::Partition(const std::set<int>& side, Micros until) {
+  std::string line = "partition";
+  for (const int i : side) line += " " + nodes_[i].name;
+  Trace(line);
+  for (int a = 0; a < size(); ++a) {
+    for (int b = 0; b < size(); ++b) {
+      if (side.contains(a) != side.contains(b)) Cut(a, b, until);
+    }
+  }
+}
+
+void Cluster::Heal() {
+  Trace("heal");
+  cuts_.clear();
+  links_ = {};
+  slow_disk = 0;
+  for (int i = 0; i < size(); ++i) {
+    nodes_[i].frozen_until = std::min(nodes_[i].frozen_until, now_);
+    if (!Up(i)) Restart(i);
+  }
+}
+
+void Cluster::Tick(int index, std::uint64_t life) {
+  OnNode(index, life, now_ + kTick, [this, index, life](SimNode& node) {
+    Effects effects;
+    node.replica->Tick(LocalNow(node), effects);
+    HandleEffects(index, effects);
+    if (options_.auto_join && UniformBelow(rng_, 50) == 0) TryJoin(index);
+    Tick(index, life);
+  });
+}
+
+void Cluster::HandleEffects(int index, Effects& effects) {
+  SimNode& node = nodes_[index];
+  if (effects.persist) {
+    const std::uint64_t token = effects.persist->token;
+    if (node.disk.pending) Violation(node.id + " has two batches under way");
+    if (node.self.has_disk) node.disk.pending = std::move(effects.persist);
+    Micros done = now_;
+    if (node.self.has_disk)
+      done += 200 + static_cast<Micros>(UniformBelow(rng_, 2'000 + slow_disk));
+    OnNode(index, node.life, done, [this, index, token](SimNode& target) {
+      if (target.disk.pending) target.disk.Apply(*target.disk.pending);
+      target.disk.pending.reset();
+      Effects next;
+      target.replica->Synced(token, LocalNow(target), next);
+      HandleEffects(index, next);
+    });
+  }
+  for (const Envelope& envelope : effects.send) Transmit(index, envelope);
+  if (effects.install) Install(node, *effects.install);
+  for (const Entry& entry : effects.committed) ApplyEntry(node, entry);
+  if (effects.leadership_changed) {
+    Trace(node.id + " term " + std::to_string(node.replica->term()) +
+          (node.replica->is_leader() ? " leads"
+                                     : " follows " + node.replica->leader().value_or("-")));
+  }
+  if (effects.wants_snapshot) {
+    Effects compact;
+    node.replica->Compact(node.state.applied, Encode(node.state), compact);
+    HandleEffects(index, compact);
+  }
+}
+
+void Cluster::Transmit(int from, const Envelope& envelope) {
+  static constexpr const char* kNames[] = {"vote",         "vote_reply", "append",
+                                           "append_reply", "chunk",      "chunk_reply"};
+  ++messages_;
+  ++sent[kNames[envelope.message.index()]];
+  int to = -1;
+  for (int i = 0; i < size(); ++i) {
+    if (nodes_[i].self.address == envelope.address) to = i;
+  }
+  const auto cut = cuts_.find({from, to});
+  if (to < 0 || (cut != cuts_.end() && cut->second > now_)) return;
+  const int copies = UniformUnit(rng_) < links_.duplicate ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    if (UniformUnit(rng_) < links_.loss) continue;
+    Micros delay = 500 + static_cast<Micros>(UniformBelow(rng_, 1'000));
+    if (UniformUnit(rng_) < links_.late) {
+      delay += static_cast<Micros>(UniformBelow(rng_, links_.late_by));
+    }
+    // Whoever lives at the address gets the message, also when it is meant for an earlier replica.
+    At(now_ + delay, [this, to, sender = nodes_[from].id, bytes = Encode(envelope.message)] {
+      OnNode(to, nodes_[to].life, now_, [this, to, sender, bytes](SimNode& node) {
+        Effects effects;
+        node.replica->Receive(sender, Decode<Message>(bytes), LocalNow(node), effects);
+        HandleEffects(to, effects);
+      });
+    });
+  }
+}
+
+void Cluster::ApplyEntry(SimNode& node, const Entry& entry) {
+  if (entry.index != node.state.applied + 1) {
+    return Violation(node.id + " applies " + std::to_string(entry.index) + " after " +
+                     std::to_string(node.state.applied));
+  }
+  node.state.applied = entry.index;
+  node.state.digest = Mix(node.state.digest, entry);
+  const std::pair<Term, std::uint64_t> record{entry.term, node.state.digest};
+  if (entry.index > committed_.size()) {
+    committed_.push_back(record);
+    if (entry.kind == EntryKind::kMembership) {
+      committed_membership_ = Decode<Membership>(entry.payload);
+      committed_membership_index_ = entry.index;
+      std::string line = "members";
+      for (const auto& [id, member] : committed_membership_) {
+        line += " " + id + (member.role == Role::kVoter ? "*" : "");
+      }
+      Trace(line);
+    }
+  } else if (committed_[entry.index - 1] != record) {
+    Violation(node.id + " commits another entry at " + std::to_string(entry.index));
+  }
+}
+
+void Cluster::Install(SimNode& node, const Snapshot& snapshot) {
+  if (snapshot.index < node.state.applied || snapshot.index > committed_.size()) {
+    return Violation(node.id + " installs a snapshot at " + std::to_string(snapshot.index));
+  }
+  node.state = Decode<SimState>(snapshot.state);
+  const std::pair<Term, std::uint64_t> record{snapshot.term, node.state.digest};
+  if (node.state.applied != snapshot.index || committed_[snapshot.index - 1] != record) {
+    Violation(node.id + " installs a wrong snapshot at " + std::to_string(snapshot.index));
+  }
+}
+
+std::optional<Index> Cluster::Propose(const std::string& payload) {
+  for (int i = 0; i < size(); ++i) {
+    SimNode& node = nodes_[i];
+    if (!Up(i) || !node.replica->is_leader() || node.frozen_until > now_) continue;
+    Effects effects;
+    const auto index = node.replica->Propose({payload}, LocalNow(node), effects);
+    HandleEffects(i, effects);
+    return index;
+  }
+  return std::nullopt;
+}
+
+void Cluster::TryJoin(int index) {
+  const int leader = Leader();
+  if (leader < 0 || leader == index) return;
+  const auto cut = cuts_.find({index, leader});
+  if (cut != cuts_.end() && cut->second > now_) return;
+  if (!nodes_[leader].replica->membership().contains(nodes_[index].id)) AddLearner(index);
+}
+
+bool Cluster::AddLearner(int index) {
+  const int leader = Leader();
+  if (leader < 0) return false;
+  SimNode& node = nodes_[leader];
+  Effects effects;
+  const bool done =
+      node.replica->AddLearner(nodes_[index].id, nodes_[index].self, LocalNow(node), effects);
+  HandleEffects(leader, effects);
+  return done;
+}
+
+bool Cluster::Remove(int index) {
+  const int leader = Leader();
+  if (leader < 0) return false;
+  SimNode& node = nodes_[leader];
+  Trace("remove " + nodes_[index].id);
+  Effects effects;
+  const bool done = node.replica->Remove(nodes_[index].id, LocalNow(node), effects);
+  HandleEffects(leader, effects);
+  return done;
+}
+
+int Cluster::Leader() const {
+  for (int i = 0; i < size(); ++i) {
+    if (Up(i) && nodes_[i].frozen_until <= now_ &&
+        nodes_[i].replica->HoldsLease(LocalNow(nodes_[i])))
+      return i;
+  }
+  return -1;
+}
+
+int Cluster::Find(const ReplicaId& id) const {
+  for (int i = 0; i < size(); ++i) {
+    if (nodes_[i].id == id) return i;
+  }
+  return -1;
+}
+
+bool Cluster::MajorityKeepsDisks(int without) const {
+  std::vector<Membership> possible = {committed_membership_};
+  for (const SimNode& node : nodes_) {
+    if (node.replica && node.replica->last_index() >= committed_membership_index_) {
+      possible.push_back(node.replica->membership());
+    }
+  }
+  return std::all_of(possible.begin(), possible.end(), [&](const Membership& members) {
+    int voters = 0;
+    int kept = 0;
+    for (const auto& [id, member] : members) {
+      if (member.role != Role::kVoter) continue;
+      ++voters;
+      const int index = Find(id);
+      if (index >= 0 && index != without) ++kept;
+    }
+    return kept > voters / 2;
+  });
+}
+
+bool Cluster::Converged() const {
+  if (Leader() < 0) return false;
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const SimNode& node) {
+    return node.replica && node.replica->is_member() && node.state.applied == committed_.size() &&
+           node.replica->last_index() == committed_.size();
+  });
+}
+
+void Cluster::Check() {
+  int holders = 0;
+  for (const SimNode& node : nodes_) {
+    if (!node.replica || !node.replica->is_leader()) continue;
+    const auto [it, added] = leaders_.try_emplace(node.replica->term(), node.id);
+    if (!added && it->second != node.id) {
+      Violation("two leaders in term " + std::to_string(node.replica->term()) + ": " + it->second +
+                " and " + node.id);
+    }
+    if (node.replica->HoldsLease(LocalNow(node))) ++holders;
+  }
+  if (holders > 1) Violation("two replicas hold the lease");
+}
+
+void Cluster::Trace(std::string line) {
+  trace.push_back(std::to_string(now_) + " " + std::move(line));
+  if (trace.size() > kTraceLines) trace.pop_front();
+}
+
+void Cluster::Violation(const std::string& what) {
+  Trace("VIOLATION " + what);
+  if (violations_.size() < 20) violations_.push_back(std::to_string(now_) + " " + what);
+}
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/tests/replication_soak.cc
@@ -0,0 +1,209 @@
+#include "tests/replication_soak.h"
+
+#include <array>
+#include <set>
+#include <utility>
+
+#include "tests/replication_cluster.h"
+
+namespace godwitpaddle::replication {
+namespace {
+
+/// Time without faults in which all nodes must agree again: a silent voter is replaced after 10 s,
+/// and elections and joins take a few seconds more.
+constexpr Micros kRecovery = 40 * kSecond;
+constexpr Micros kLongestPartition = 30 * kSecond;
+
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options), cluster_(Shape(options.seed)), rng_(options.seed + 1) {}
+
+  SoakTotals Run() {
+    cluster_.Start();
+    cluster_.RunFor(3 * kSecond);
+    while (cluster_.steps() < options_.steps && cluster_.violations().empty()) Round();
+    totals_.committed = cluster_.committed();
+    totals_.messages = cluster_.messages();
+    totals_.steps = cluster_.steps();
+    totals_.virtual_seconds = cluster_.now() / kSecond;
+    totals_.violations.insert(totals_.violations.end(), cluster_.violations().begin(),
+                              cluster_.violations().end());
+    totals_.trace.assign(cluster_.trace.begin(), cluster_.trace.end());
+    return std::move(totals_);
+  }
+
+ private:
+  static Cluster::Options Shape(std::uint64_t seed) {
+    Rng rng(seed);
+    Cluster::Options shape{.seed = seed};
+    shape.voter_target = UniformBelow(rng, 2) == 0 ? 3 : 5;
+    shape.disks = shape.voter_target + static_cast<int>(UniformBelow(rng, 3));
+    shape.diskless = static_cast<int>(UniformBelow(rng, 3));
+    shape.snapshot_every = 20 + UniformBelow(rng, 200);
+    // Three chunks, so that transfers are interrupted.
+    if (UniformBelow(rng, 4) == 0) shape.state_padding = 150'000;
+    return shape;
+  }
+
+  int AnyNode() { return Below(cluster_.size()); }
+  int Below(int bound) { return static_cast<int>(UniformBelow(rng_, bound)); }
+  Micros Within(Micros bound) { return static_cast<Micros>(UniformBelow(rng_, bound)); }
+  void Count(const char* kind) { ++totals_.faults[kind]; }
+
+  void Round() {
+    const Micros end = cluster_.now() + 10 * kSecond + Within(30 * kSecond);
+    while (cluster_.now() < end && cluster_.violations().empty()) {
+      cluster_.RunFor(Within(100 * kMillisecond));
+      Propose();
+      if (Below(8) == 0) Fault();
+    }
+    if (Below(2) == 0) SecondLoss();
+    cluster_.Heal();
+    if (!cluster_.violations().empty()) return;
+    if (!cluster_.RunUntil([&] { return cluster_.Converged(); }, kRecovery) &&
+        cluster_.violations().empty()) {
+      totals_.violations.emplace_back("no agreement " + std::to_string(kRecovery / kSecond) +
+                                      " s after the last fault");
+    }
+  }
+
+  void Propose() {
+    for (int i = Below(4); i > 0; --i) {
+      cluster_.Propose(std::to_string(totals_.proposals++) + std::string(Below(200), 'x'));
+    }
+  }
+
+  void Fault() {
+    using Action = void (Soak::*)();
+    static constexpr std::array<Action, 10> kActions = {
+        &Soak::BadLinks, &Soak::SplitGroup, &Soak::CutOneWay, &Soak::IsolateLeader,
+        &Soak::Freeze,   &Soak::Crash,      &Soak::CrashAll,  &Soak::LoseDisk,
+        &Soak::Remove,   &Soak::SlowDisks};
+    (this->*kActions[UniformBelow(rng_, kActions.size())])();
+    for (int i = 0; i < cluster_.size(); ++i) {
+      if (!cluster_.Up(i) && Below(3) == 0) cluster_.Restart(i);
+    }
+  }
+
+  void BadLinks() {
+    Count("bad_links");
+    cluster_.links() = {
+        .loss = Below(3) * 0.1, .duplicate = Below(3) * 0.1, .late = Below(3) * 0.1};
+  }
+
+  void SplitGroup() {
+    Count("partition");
+    std::set<int> side;
+    for (int i = 0; i < cluster_.size(); ++i) {
+      if (Below(2) == 0) side.insert(i);
+    }
+    cluster_.Partition(side, cluster_.now() + Within(Below(4) == 0 ? kLongestPartition : kSecond));
+  }
+
+  void CutOneWay() {
+    Count("one_way_cut");
+    for (int i = 0; i < 3; ++i) {
+      cluster_.Cut(AnyNode(), AnyNode(), cluster_.now() + Within(5 * kSecond));
+    }
+  }
+
+  void IsolateLeader() {
+    const int leader = cluster_.Leader();
+    if (leader < 0) return;
+    Count("leader_cut");
+    for (int i = 0; i < cluster_.size(); ++i) {
+      if (i == leader) continue;
+      const Micros until = cluster_.now() + Within(3 * kSecond);
+      const int way = Below(3);
+      if (way != 0) cluster_.Cut(leader, i, until);
+      if (way != 1) cluster_.Cut(i, leader, until);
+    }
+  }
+
+  void Freeze() {
+    Count("freeze");
+    cluster_.Freeze(AnyNode(), Within(4 * kSecond));
+  }
+
+  void Crash() {
+    const int node = AnyNode();
+    if (!cluster_.Up(node)) return;
+    Count("restart");
+    cluster_.Crash(node);
+    if (Below(2) == 0) cluster_.Restart(node);
+  }
+
+  void CrashAll() {
+    if (Below(3) != 0) return;
+    Count("restart_all");
+    for (int i = 0; i < cluster_.size(); ++i) {
+      if (cluster_.Up(i)) cluster_.Crash(i);
+    }
+    for (int i = 0; i < cluster_.size(); ++i) cluster_.Restart(i);
+  }
+
+  void LoseDisk() {
+    const int node = AnyNode();
+    if (!cluster_.node(node).self.has_disk || !cluster_.MajorityKeepsDisks(node)) return;
+    Count("lost_disk");
+    if (cluster_.Up(node)) cluster_.Crash(node);
+    cluster_.LoseDisk(node);
+    if (Below(2) == 0) cluster_.Restart(node);
+  }
+
+  void Remove() {
+    const int node = AnyNode();
+    if (!cluster_.Up(node)) return;
+    Count("remove");
+    cluster_.Remove(node);
+  }
+
+  void SlowDisks() {
+    Count("slow_disk");
+    cluster_.slow_disk = Below(2) == 0 ? 0 : 300 * kMillisecond;
+  }
+
+  /// Waits for the repair of a lost voter and loses another one right after.
+  void SecondLoss() {
+    cluster_.Heal();
+    if (!cluster_.RunUntil([&] { return cluster_.Converged(); }, kRecovery)) return;
+    const int first = AnyNode();
+    if (!cluster_.node(first).self.has_disk || !cluster_.MajorityKeepsDisks(first)) return;
+    Count("loss_then_repair");
+    cluster_.Crash(first);
+    cluster_.LoseDisk(first);
+    const ReplicaId lost = cluster_.node(first).id;
+    if (Below(2) == 0) cluster_.Restart(first);
+    cluster_.RunUntil([&] { return cluster_.MajorityKeepsDisks(AnyNode()); }, kRecovery);
+    const int second = AnyNode();
+    if (!cluster_.Up(second) || !cluster_.MajorityKeepsDisks(second)) return;
+    Count("second_loss");
+    cluster_.Crash(second);
+    cluster_.LoseDisk(second);
+    Propose();
+    cluster_.RunFor(Within(15 * kSecond));
+  }
+
+  SoakOptions options_;
+  Cluster cluster_;
+  Rng rng_;
+  SoakTotals totals_;
+};
+
+}  // namespace
+
+SoakTotals RunSoak(const SoakOptions& options) { return Soak(options).Run(); }
+
+std::string Describe(const SoakOptions& options, const SoakTotals& totals) {
+  std::string line = "seed=" + std::to_string(options.seed) +
+                     " steps=" + std::to_string(totals.steps) +
+                     " virtual_s=" + std::to_string(totals.virtual_seconds) +
+                     " proposals=" + std::to_string(totals.proposals) +
+                     " committed=" + std::to_string(totals.committed) +
+                     " messages=" + std::to_string(totals.messages);
+  for (const auto& [kind, count] : totals.faults) line += " " + kind + "=" + std::to_string(count);
+  return line + " violations=" + std::to_string(totals.violations.size());
+}
+
+}  // namespace godwitpaddle::replication
--- /dev/null
+++ b/tests/replication_soak.h
@@ -0,0 +1,36 @@
+#ifndef GODWITPADDLE_TESTS_REPLICATION_SOAK_H_
+#define GODWITPADDLE_TESTS_REPLICATION_SOAK_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace godwitpaddle::replication {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  std::uint64_t steps = 100'000;  // events of the cluster, at least; the last round is finished
+};
+
+struct SoakTotals {
+  std::uint64_t proposals = 0;
+  std::uint64_t committed = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t steps = 0;
+  std::int64_t virtual_seconds = 0;
+  std::map<std::string, std::uint64_t> faults;  // by kind
+  std::vector<std::string> violations;
+  std::vector<std::string> trace;  // newest events up to the first violation
+};
+
+/// Runs a replicated group under random faults, in rounds of faults and recovery, and checks it
+/// after each event. The same options give the same totals.
+SoakTotals RunSoak(const SoakOptions& options);
+
+/// One line: operations, faults by kind, violations.
+std::string Describe(const SoakOptions& options, const SoakTotals& totals);
+
+}  // namespace godwitpaddle::replication
+
+#endif  // GODWITPADDLE_TESTS_REPLICATION_SOAK_H_
