Add admin requests and service levels

Cause: operators and customers need authenticated requests that become commands of the log, and the leader needs error budget burn per queue. Ruled out: operators who manage customer keys, since such an operator could approve its own change; burn as a difference of fleet sums, since the sum falls when an incarnation leaves and jumps when a new leader learns old counts.

--- a/decision/service_level.h
+++ b/decision/service_level.h
@@ -31,19 +31,24 @@
 /// Adds one request to its counter.
 void Count(ServiceCounts& counts, ServiceOutcome outcome);
 
-/// Cumulative counts of the whole fleet over time, kept by the leader; one sample per kBurnSample,
-/// bounded.
+using QueueCounts = std::map<QueueId, ServiceCounts>;
+
+/// Cumulative counts of the whole fleet over time, kept by the leader: one sample per kBurnSample
+/// for the last minutes, fewer for older times, bounded.
 struct BurnHistory {
   struct Sample {
     Micros at = 0;
-    std::map<QueueId, ServiceCounts> counts;
+    QueueCounts counts;
   };
   std::deque<Sample> samples;
+  QueueCounts total;                            // since the history began
+  std::map<std::string, QueueCounts> previous;  // by incarnation, at the last sample
 };
 
-/// Adds the sum over all incarnations when a sample is due.
-void SampleBurn(BurnHistory& history,
-                const std::map<std::string, std::map<QueueId, ServiceCounts>>& by_incarnation,
+/// Adds what the incarnations counted since the last sample when one is due. An incarnation counts
+/// from the first sample that has it, since its earlier requests may lie outside every window; so
+/// neither a new leader nor an incarnation that leaves shifts the sums.
+void SampleBurn(BurnHistory& history, const std::map<std::string, QueueCounts>& by_incarnation,
                 Micros now);
 
 /// Burn of one queue's error budget in one window: 1 means that the budget is spent exactly as fast
--- /dev/null
+++ b/tests/admin_test.cc
@@ -0,0 +1,190 @@
+#include "node/admin.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace godwitpaddle {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr WallMs kWall = 1'764'812'520'000;
+
+struct Fixture {
+  FleetState state;
+
+  Fixture() {
+    AddKey("op", KeyRole::kOperator);
+    AddKey("cust", KeyRole::kCustomer);
+    AddKey("team", KeyRole::kTeam);
+    state.files["00-fleet.json"] = "{}";
+    state.config.waves["spring"] = {};
+    state.vms["vm1"] = {.pool = "quoting"};
+  }
+
+  void AddKey(const std::string& name, KeyRole role) {
+    state.keys[name] = {.id = name, .role = role, .hash = HashKey("secret-" + name)};
+  }
+
+  AdminAction Ask(const std::string& who, const std::string& method, const std::string& path,
+                  const Json& body = nullptr) const {
+    HttpEvent request{.connection = 7, .method = method, .path = "/v1/admin/" + path};
+    if (!who.empty()) request.headers["authorization"] = "Bearer secret-" + who;
+    if (!body.is_null()) request.body = body.is_string() ? body.get<std::string>() : body.dump();
+    return PlanAdmin(request, state, kWall);
+  }
+
+  // Status of an answer given at once; 0 when the request became a command or another action.
+  int Status(const std::string& who, const std::string& method, const std::string& path,
+             const Json& body = nullptr) const {
+    const AdminAction action = Ask(who, method, path, body);
+    const auto* answer = std::get_if<RespondEffect>(&action);
+    if (answer == nullptr) return 0;
+    CHECK(answer->connection == 7);
+    return answer->status;
+  }
+
+  template <typename T>
+  T Command(const AdminAction& action) const {
+    REQUIRE(std::holds_alternative<CommandBody>(action));
+    REQUIRE(std::holds_alternative<T>(std::get<CommandBody>(action)));
+    return std::get<T>(std::get<CommandBody>(action));
+  }
+};
+
+const Json kChange = {{"change_id", "c1"}, {"base_revision", 4}, {"files", {{"10-a.json", "{}"}}}};
+const Json kReview = {{"change_id", "c2"}, {"approve", true}, {"files", {"10-a.json"}}};
+
+Json Grant(const std::string& role) {
+  Json grant = {{"change_id", "g1"}, {"id", "k1"}, {"role", role}, {"hash", std::string(64, 'a')}};
+  if (role == "team") grant["team"] = "harbour";
+  return grant;
+}
+
+// Guards against a request that passes with a missing, wrong or weaker key.
+TEST_CASE_METHOD(Fixture, "admin requests and the roles of keys") {
+  SECTION("no key, an unknown key and a team key are refused") {
+    CHECK(Status("", "GET", "config") == 401);
+    CHECK(Status("nobody", "GET", "config") == 401);
+    CHECK(Status("team", "GET", "config") == 403);
+    CHECK(Status("team", "POST", "changes", kChange) == 403);
+    HttpEvent basic{.method = "GET", .path = "/v1/admin/config"};
+    basic.headers["authorization"] = "Basic secret-op";
+    CHECK(std::get<RespondEffect>(PlanAdmin(basic, state, kWall)).status == 401);
+  }
+  SECTION("operator and customer read everything, without secrets") {
+    for (const std::string who : {"op", "cust"}) {
+      for (const std::string path : {"config", "review", "history", "keys", "waves"}) {
+        CHECK(Status(who, "GET", path) == 200);
+      }
+      CHECK(std::holds_alternative<StatusAction>(Ask(who, "GET", "status")));
+    }
+    const std::string keys = std::get<RespondEffect>(Ask("cust", "GET", "keys")).body;
+    CHECK(keys.find("hash") == std::string::npos);
+  }
+  SECTION("an operator submits but neither approves nor vetoes") {
+    const auto change = Command<SubmitConfig>(Ask("op", "POST", "changes", kChange));
+    CHECK(change.author == "op");
+    CHECK(change.base_revision == 4);
+    CHECK(Status("op", "POST", "review", kReview) == 403);
+  }
+  SECTION("a customer decides reviews but changes nothing else") {
+    CHECK(Command<DecideReview>(Ask("cust", "POST", "review", kReview)).approve);
+    CHECK(Status("cust", "POST", "changes", kChange) == 403);
+    CHECK(Status("cust", "POST", "waves/spring", {{"change_id", "w"}, {"action", "start"}}) == 403);
+    CHECK(Status("cust", "POST", "vms/vm1/drain", {{"change_id", "d"}}) == 403);
+  }
+  SECTION("an operator cannot obtain a customer key and approve its own change") {
+    CHECK(Command<GrantKey>(Ask("op", "POST", "keys", Grant("team"))).key.team == "harbour");
+    CHECK(Status("op", "POST", "keys", Grant("customer")) == 403);
+    CHECK(Status("cust", "POST", "keys", Grant("customer")) == 0);
+    CHECK(Status("cust", "POST", "keys", Grant("team")) == 403);
+    CHECK(Status("op", "DELETE", "keys", {{"change_id", "x"}, {"id", "cust"}}) == 403);
+  }
+  SECTION("the last key of a role stays, and a repeated withdrawal gets its first answer") {
+    const Json last = {{"change_id", "x"}, {"id", "op"}};
+    CHECK(Status("op", "DELETE", "keys", last) == 409);
+    state.results["x"] = {};
+    CHECK(Command<WithdrawKey>(Ask("op", "DELETE", "keys", last)).key_id == "op");
+  }
+}
+
+// Guards against malformed input that reaches the log.
+TEST_CASE_METHOD(Fixture, "admin requests with malformed input") {
+  const auto changed = [](Json body, const std::string& field, const Json& value) {
+    body[field] = value;
+    return body;
+  };
+  CHECK(Status("op", "POST", "changes", "{") == 400);
+  CHECK(Status("op", "POST", "changes", "[]") == 400);
+  CHECK(Status("op", "POST", "changes", changed(kChange, "extra", 1)) == 400);
+  CHECK(Status("op", "POST", "changes", changed(kChange, "change_id", "a b")) == 400);
+  CHECK(Status("op", "POST", "changes", changed(kChange, "change_id", std::string(129, 'a'))) ==
+        400);
+  CHECK(Status("op", "POST", "changes", changed(kChange, "base_revision", -1)) == 400);
+  CHECK(Status("op", "POST", "changes", changed(kChange, "files", Json::object())) == 400);
+  for (const std::string name : {"../a.json", "a.txt", ".json", ""}) {
+    CHECK(Status("op", "POST", "changes", changed(kChange, "files", {{name, "{}"}})) == 400);
+  }
+  CHECK(Status("op", "POST", "changes",
+               changed(kChange, "files", {{"a.json", std::string((1U << 20U) + 1, ' ')}})) == 400);
+  CHECK(Status("op", "POST", "changes", std::string((4U << 20U) + 1, ' ')) == 413);
+  CHECK(Status("cust", "POST", "review", changed(kReview, "approve", "yes")) == 400);
+  CHECK(Status("op", "POST", "keys", changed(Grant("team"), "hash", "AA")) == 400);
+  CHECK(Status("op", "POST", "keys", changed(Grant("operator"), "team", "harbour")) == 400);
+  CHECK(Status("op", "POST", "waves/spring", {{"change_id", "w"}, {"action", "stop"}}) == 400);
+  CHECK(Status("op", "POST", "waves/autumn", {{"change_id", "w"}, {"action", "start"}}) == 404);
+  CHECK(Status("op", "POST", "vms/vm9/drain", {{"change_id", "d"}}) == 404);
+  CHECK(Status("op", "GET", "nothing") == 404);
+  CHECK(Status("op", "PUT", "config") == 405);
+  const auto removal = changed(kChange, "files", {{"10-a.json", nullptr}});
+  CHECK_FALSE(Command<SubmitConfig>(Ask("op", "POST", "changes", removal))
+                  .files.at("10-a.json")
+                  .has_value());
+}
+
+// Guards against an undrain that ends another operation than the one by hand.
+TEST_CASE_METHOD(Fixture, "drains by hand") {
+  const auto drain = Command<StartVmOperation>(Ask("op", "POST", "vms/vm1/drain",  //
+                                                   {{"change_id", "d1"}}));
+  CHECK(drain.operation.kind == VmOperationKind::kDrain);
+  const Json undrain = {{"change_id", "u1"}};
+  CHECK(Status("op", "POST", "vms/vm1/undrain", undrain) == 409);
+  state.vms["vm1"].operation = drain.operation;
+  CHECK(Command<FinishVmOperation>(Ask("op", "POST", "vms/vm1/undrain", undrain)).operation_id ==
+        drain.operation.id);
+  state.vms["vm1"].operation->kind = VmOperationKind::kReboot;
+  CHECK(Status("op", "POST", "vms/vm1/undrain", undrain) == 409);
+  state.vms["vm1"].operation->phase = VmPhase::kFailed;
+  CHECK_FALSE(Command<FinishVmOperation>(Ask("op", "POST", "vms/vm1/undrain", undrain)).succeeded);
+}
+
+// Guards against a first start after which nobody can submit or approve.
+TEST_CASE_METHOD(Fixture, "bootstrap needs no key but both roles") {
+  const auto key = [](const std::string& id, const std::string& role) {
+    return Json{{"id", id}, {"role", role}, {"hash", std::string(64, '0')}};
+  };
+  const Json both = {{"keys", {key("a", "operator"), key("b", "customer")}}};
+  const Json one = {{"keys", {key("a", "operator"), key("b", "operator")}}};
+  CHECK(std::get<BootstrapAction>(Ask("", "POST", "bootstrap", both)).keys.size() == 2);
+  CHECK(Status("", "POST", "bootstrap", one) == 400);
+  CHECK(Status("", "GET", "bootstrap") == 405);
+}
+
+// Guards against an answer whose status hides a refusal.
+TEST_CASE("answers to admin commands") {
+  const std::map<ResultCode, int> expected = {
+      {ResultCode::kOk, 200},      {ResultCode::kConflict, 409},  {ResultCode::kNotFound, 404},
+      {ResultCode::kInvalid, 422}, {ResultCode::kForbidden, 403}, {ResultCode::kFull, 503}};
+  for (const auto& [code, status] : expected) {
+    CHECK(AnswerAdmin(1, {.code = code}).status == status);
+  }
+  ApplyResult invalid{.code = ResultCode::kInvalid, .message = "no"};
+  invalid.errors.push_back({.file = "a.json", .path = "/pools", .line = 3, .reason = "why"});
+  const Json body = Json::parse(AnswerAdmin(1, invalid).body);
+  CHECK(body["errors"][0]["line"] == 3);
+  CHECK(body["error"] == "invalid");
+}
+
+}  // namespace
+}  // namespace godwitpaddle
--- /dev/null
+++ b/tests/service_level_test.cc
@@ -0,0 +1,79 @@
+#include "decision/service_level.h"
+
+#include <catch2/catch.hpp>
+
+namespace godwitpaddle {
+namespace {
+
+struct Fixture {
+  FleetConfig config;
+  BurnHistory history;
+  std::map<std::string, QueueCounts> counts;
+  Micros now = 1'000 * kSecond;
+
+  Fixture() { config.queues["quotes"].objective = 0.99; }
+
+  // Serves `good` and loses `bad` requests in each sample period of `length`.
+  void Run(Micros length, int good, int bad) {
+    for (const Micros end = now + length; now < end; now += kBurnSample) {
+      counts["n1"]["quotes"].in_time += good;
+      counts["n1"]["quotes"].late += bad;
+      SampleBurn(history, counts, now);
+    }
+  }
+
+  BurnLine Line(Micros window) {
+    for (const BurnLine& line : BurnReport(history, config, now)) {
+      if (line.window == window) return line;
+    }
+    throw std::logic_error("no such window");
+  }
+};
+
+// Guards against burn figures that a change of leader, a restart or thinning distorts.
+TEST_CASE_METHOD(Fixture, "burn of an error budget") {
+  SECTION("each outcome has its counter") {
+    ServiceCounts one;
+    for (const auto outcome : {ServiceOutcome::kInTime, ServiceOutcome::kLate,
+                               ServiceOutcome::kRefused, ServiceOutcome::kFailed}) {
+      Count(one, outcome);
+    }
+    CHECK(one == ServiceCounts{.in_time = 1, .late = 1, .refused = 1, .failed = 1});
+  }
+  SECTION("without traffic or samples nothing burns") {
+    CHECK(Line(5 * kMinute).burn == 0);
+    Run(kMinute, 0, 0);
+    CHECK(Line(5 * kMinute).burn == 0);
+  }
+  SECTION("one lost in a hundred spends an objective of 0.99 at rate 1") {
+    Run(20 * kMinute, 99, 1);
+    CHECK(Line(5 * kMinute).burn == Approx(1.0));
+    SECTION("and a short fault shows in the short window first") {
+      Run(5 * kMinute, 90, 10);
+      CHECK(Line(5 * kMinute).burn == Approx(10.0).epsilon(0.05));
+      CHECK(Line(60 * kMinute).burn == Approx(2.8).epsilon(0.05));
+    }
+  }
+  SECTION("counts from before the first sample lie outside every window") {
+    counts["n1"]["quotes"].failed = 1'000'000;
+    Run(10 * kMinute, 100, 0);
+    CHECK(Line(360 * kMinute).burn == 0);
+    SECTION("an incarnation that leaves takes nothing away") {
+      const std::uint64_t before = Line(60 * kMinute).counts.in_time;
+      counts.erase("n1");
+      SampleBurn(history, counts, now);
+      CHECK(Line(60 * kMinute).counts.in_time == before);
+    }
+  }
+  SECTION("samples stay bounded over a day, and the windows keep their length") {
+    Run(24 * 60 * kMinute, 100, 0);
+    CHECK(history.samples.size() < 200);
+    for (const Micros window : {5 * kMinute, 60 * kMinute, 360 * kMinute}) {
+      const double expected = 100.0 * static_cast<double>(window / kBurnSample);
+      CHECK(static_cast<double>(Line(window).counts.in_time) == Approx(expected).epsilon(0.05));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace godwitpaddle
