Add a capacity measurement over whole nodes

Cause: docs/CAPACITY.md needs slopes that were measured. Ruled out: timing single functions only, which leaves out messages and the work that ticks cause.

--- a/tests/virtual_cluster.cc
+++ b/tests/virtual_cluster.cc
@@ -1,6 +1,7 @@
 #include "tests/virtual_cluster.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace godwitpaddle::testing {
@@ -11,6 +12,13 @@
 // Clocks run at slightly different rates; the lease margin allows for far more.
 constexpr double kMaxClockDrift = 0.002;
 constexpr std::size_t kMaxLogLines = 400;
+constexpr std::uint64_t kFrameOverhead = 16;  // length, group and sender around each message
+
+std::int64_t ThreadCpuNs() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return time.tv_sec * 1'000'000'000LL + time.tv_nsec;
+}
 
 }  // namespace
 
@@ -190,7 +198,9 @@
   ++steps_;
   Slot& slot = slots_[index];
   const std::uint64_t life = slot.life;
+  const std::int64_t before = usage_.empty() ? 0 : ThreadCpuNs();
   std::vector<Effect> effects = slot.node->Step(event, LocalTime(slot), wall());
+  if (!usage_.empty()) usage_[index].cpu_ns += ThreadCpuNs() - before;
   for (Effect& effect : effects) {
     if (!alive(index) || slots_[index].life != life) return;
     CarryOut(index, effect);
@@ -230,6 +240,14 @@
   ++messages_;
   const auto to = by_address_.find(send.address);
   if (to == by_address_.end()) return;
+  if (!usage_.empty()) {
+    const std::uint64_t bytes = Encode(send.message).size() + kFrameOverhead;
+    NodeUsage& sender = usage_[from];
+    sender.bytes_out += bytes;
+    ++sender.messages_out;
+    sender.bytes_by_type[send.message.index()] += bytes;
+    usage_[to->second].bytes_in += bytes;
+  }
   const auto cut = cuts_.find({from, to->second});
   if (cut != cuts_.end() && cut->second > now_) return;
   const int copies =
--- a/tests/virtual_cluster.h
+++ b/tests/virtual_cluster.h
@@ -32,11 +32,22 @@
   virtual void CallPlatform(std::size_t node, const PlatformCall& call) = 0;
 };
 
+/// What one node spent since accounting was switched on.
+struct NodeUsage {
+  std::int64_t cpu_ns = 0;  // thread time inside Step
+  std::uint64_t bytes_out = 0;
+  std::uint64_t bytes_in = 0;
+  std::uint64_t messages_out = 0;
+  std::map<std::size_t, std::uint64_t> bytes_by_type;  // sent, by index in PeerMessage
+};
+
 /// Runs nodes in virtual time over links, disks and clocks that can fail. All randomness comes from
 /// one seed.
 class VirtualCluster {
  public:
   VirtualCluster(std::size_t nodes, std::size_t with_disk, std::uint64_t seed);
+  VirtualCluster(const VirtualCluster&) = delete;
+  VirtualCluster& operator=(const VirtualCluster&) = delete;
 
   Micros now() const { return now_; }
   Rng& rng() { return rng_; }
@@ -78,6 +89,9 @@
   /// Events handled by all nodes, and messages sent between them.
   std::uint64_t steps() const { return steps_; }
   std::uint64_t messages() const { return messages_; }
+  /// Counts time and bytes per node from now on (costs an encoding per message).
+  void StartAccounting() { usage_.assign(slots_.size(), NodeUsage{}); }
+  const std::vector<NodeUsage>& usage() const { return usage_; }
   /// The last log lines of all nodes.
   const std::vector<std::string>& log() const { return log_; }
 
@@ -124,6 +138,7 @@
   std::uint64_t next_replica_ = 1;
   std::uint64_t steps_ = 0;
   std::uint64_t messages_ = 0;
+  std::vector<NodeUsage> usage_;  // empty: accounting is off
   std::priority_queue<Item, std::vector<Item>, std::greater<>> queue_;
   std::vector<std::string> log_;
 };
