--- /dev/null
+++ b/decision/apply_allotments.cc
@@ -0,0 +1,62 @@
+#include <algorithm>
+
+#include "decision/apply_detail.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+int LimitOf(const FleetState& state, const TeamId& team) {
+  const auto it = state.config.teams.find(team);
+  return it == state.config.teams.end() ? 0 : it->second.limit;
+}
+
+/// A cut takes two steps: the target first; then `granted`, not below the target that is in force.
+/// A raise must keep the sum within the limit.
+bool IsAllowed(const FleetState& state, const AllotmentChange& change, const Allotment& current) {
+  if (change.granted < 0 || change.target < 0) return false;
+  const auto node = state.nodes.find(change.incarnation);
+  if (node == state.nodes.end() || node->second.lapsed) return false;
+  if (change.granted < current.granted) {
+    return change.granted >= current.target && change.target <= change.granted;
+  }
+  const int raise = change.granted - current.granted;
+  return raise == 0 || GrantedSum(state, change.team) + raise <= LimitOf(state, change.team);
+}
+
+}  // namespace
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const SetAllotments& body) {
+  int skipped = 0;
+  for (const AllotmentChange& change : body.changes) {
+    Allotment current;
+    const auto team = state.allotments.find(change.team);
+    if (team != state.allotments.end()) {
+      const auto it = team->second.find(change.incarnation);
+      if (it != team->second.end()) current = it->second;
+    }
+    if (!IsAllowed(state, change, current)) {
+      ++skipped;
+      continue;
+    }
+    auto& held = state.allotments[change.team];
+    if (change.target < current.target) current.target_index = at.index;
+    current.granted = change.granted;
+    current.target = change.target;
+    held[change.incarnation] = current;
+    if (current.granted == 0 && current.target == 0) held.erase(change.incarnation);
+    if (held.empty()) state.allotments.erase(change.team);
+  }
+  NoteOverLimit(state);
+  if (skipped > 0) return {.message = std::to_string(skipped) + " changes were skipped"};
+  return {};
+}
+
+void NoteOverLimit(FleetState& state) {
+  state.over_limit.clear();
+  for (const auto& [team, held] : state.allotments) {
+    const int sum = GrantedSum(state, team);
+    if (sum > LimitOf(state, team)) state.over_limit[team] = sum;
+  }
+}
+
+}  // namespace godwitpaddle::detail
--- /dev/null
+++ b/decision/apply_claims.cc
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <cstddef>
+#include <set>
+
+#include "decision/apply_detail.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+// Clocks of callers may be this far ahead of the leader's.
+constexpr WallMs kMaxAhead = 60'000;
+
+WallMs Retention(const FleetState& state) { return state.config.fleet.claim_retention_s * 1000; }
+
+/// Removes claims whose ids would be refused as too old from now on. An id made up to kMaxAhead
+/// after its claim is covered by waiting that much longer.
+void Purge(FleetState& state, WallMs now) {
+  state.claim_floor = std::max(state.claim_floor, now - Retention(state));
+  while (!state.claim_ages.empty() &&
+         state.claim_ages.front().first + kMaxAhead < state.claim_floor) {
+    state.claims.erase(state.claim_ages.front().second);
+    state.claim_ages.pop_front();
+  }
+}
+
+std::optional<ApplyResult> CheckBatch(const FleetState& state, const ClaimBatch& body) {
+  const auto owner = state.owners.find(body.pool);
+  if (owner == state.owners.end() || owner->second.epoch != body.epoch ||
+      owner->second.owner != body.owner || body.owner.empty()) {
+    return Refuse(ResultCode::kConflict, body.owner + " does not own " + body.pool +
+                                             " under epoch " + std::to_string(body.epoch));
+  }
+  const auto node = state.nodes.find(body.owner);
+  if (node == state.nodes.end() || node->second.lapsed) {
+    return Refuse(ResultCode::kConflict, body.owner + " has lapsed");
+  }
+  std::set<std::string> added;
+  for (const ClaimRequest& claim : body.claims) {
+    std::string key = ClaimKey(claim.queue, claim.request_id);
+    if (state.claims.count(key) == 0) added.insert(std::move(key));
+  }
+  if (state.claims.size() + added.size() >
+      static_cast<std::size_t>(state.config.fleet.max_claims)) {
+    return Refuse(ResultCode::kFull, "the table of claims is full");
+  }
+  return std::nullopt;
+}
+
+struct Outcome {
+  ClaimState state = ClaimState::kNotRun;
+  bool claimed = false;
+};
+
+Outcome ClaimOne(FleetState& state, const ApplyContext& at, const ClaimBatch& batch,
+                 const ClaimRequest& request) {
+  const auto queue = state.config.queues.find(request.queue);
+  if (queue == state.config.queues.end() || queue->second.pool != batch.pool) return {};
+  // An id this old may have run and been purged, so it cannot be called "not run".
+  if (request.made < state.claim_floor) return {.state = ClaimState::kUnknown};
+  if (request.made > at.now + kMaxAhead) return {};
+  const std::string key = ClaimKey(request.queue, request.request_id);
+  const auto [it, added] = state.claims.try_emplace(key);
+  Claim& claim = it->second;
+  if (!added && claim.state != ClaimState::kNotRun) {
+    const bool same = claim.state == ClaimState::kRunning && claim.owner == batch.owner &&
+                      claim.attempt == request.attempt;
+    return {.state = claim.state, .claimed = same};
+  }
+  if (added) state.claim_ages.emplace_back(at.now, key);
+  claim = {.owner = batch.owner, .attempt = request.attempt, .made = request.made};
+  return {.state = ClaimState::kRunning, .claimed = true};
+}
+
+}  // namespace
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const ClaimBatch& body) {
+  Purge(state, at.now);
+  ApplyResult result;
+  if (auto refusal = CheckBatch(state, body)) {
+    result = *refusal;
+    result.claims.assign(body.claims.size(), ClaimState::kNotRun);
+    result.claimed.assign(body.claims.size(), false);
+    return result;
+  }
+  for (const ClaimRequest& request : body.claims) {
+    const Outcome outcome = ClaimOne(state, at, body, request);
+    result.claims.push_back(outcome.state);
+    result.claimed.push_back(outcome.claimed);
+  }
+  return result;
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const ClaimEnds& body) {
+  Purge(state, at.now);
+  for (const ClaimEnd& end : body.ends) {
+    const auto it = state.claims.find(ClaimKey(end.queue, end.request_id));
+    if (it == state.claims.end() || it->second.attempt != end.attempt) continue;
+    if (end.end == ClaimState::kRunning) continue;
+    // A claim that became unknown when its owner lapsed may still get its true end. A final end
+    // stays.
+    const ClaimState now = it->second.state;
+    if (now == ClaimState::kRunning ||
+        (now == ClaimState::kUnknown && end.end == ClaimState::kDone))
+      it->second.state = end.end;
+  }
+  return {};
+}
+
+void LoseClaims(FleetState& state, const Incarnation& incarnation) {
+  for (auto& [key, claim] : state.claims) {
+    if (claim.state == ClaimState::kRunning && claim.owner == incarnation) {
+      claim.state = ClaimState::kUnknown;
+    }
+  }
+}
+
+}  // namespace godwitpaddle::detail
--- /dev/null
+++ b/decision/apply_config.cc
@@ -0,0 +1,270 @@
+#include <algorithm>
+#include <cstddef>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decision/apply_detail.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+using Files = std::map<std::string, std::string>;
+
+constexpr std::size_t kMaxHistory = 1'000;
+constexpr std::size_t kMaxFiles = 1'000;
+constexpr std::size_t kMaxFileBytes = 4U << 20U;
+constexpr std::size_t kMaxFileName = 128;
+
+bool IsValidFileName(const std::string& name) {
+  return !name.empty() && name.size() <= kMaxFileName && name.front() != '.' &&
+         std::all_of(name.begin(), name.end(), [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                  c == '.' || c == '_' || c == '-';
+         });
+}
+
+void Overlay(Files& files, const std::string& name, const std::optional<std::string>& content) {
+  if (content) {
+    files[name] = *content;
+  } else {
+    files.erase(name);
+  }
+}
+
+/// A pool that still holds VMs cannot be removed: its VMs have to be moved out first, so that their
+/// running work is not cut off.
+void CheckRemovedPools(const FleetState& state, const FleetConfig& config,
+                       std::vector<ConfigError>& errors) {
+  const auto require = [&](const PoolId& pool, const VmId& vm) {
+    if (config.pools.count(pool) != 0) return;
+    errors.push_back(
+        {.path = "/pools/" + pool,
+         .reason = "cannot be removed: VM " + vm + " is still in it or on its way to it"});
+  };
+  for (const auto& [id, vm] : state.vms) {
+    if (config.vms.count(id) != 0 || vm.operation) require(vm.pool, id);
+    if (vm.operation && !vm.operation->target.empty()) require(vm.operation->target, id);
+  }
+}
+
+MergeResult MergeFor(const FleetState& state, const Files& files) {
+  MergeResult result = MergeConfig(files);
+  if (result.ok()) CheckRemovedPools(state, result.config, result.errors);
+  return result;
+}
+
+std::string FirstReason(const std::vector<ConfigError>& errors) {
+  const ConfigError& error = errors.front();
+  std::string text = error.file;
+  if (error.line > 0) text += ":" + std::to_string(error.line);
+  if (!text.empty()) text += ": ";
+  if (!error.path.empty()) text += error.path + ": ";
+  return text + error.reason;
+}
+
+void Record(FleetState& state, const ApplyContext& at, const std::string& author,
+            const std::string& action, std::vector<std::string> files) {
+  state.history.push_back({.revision = state.revision,
+                           .in_force = state.in_force,
+                           .at = at.now,
+                           .author = author,
+                           .action = action,
+                           .files = std::move(files)});
+  while (state.history.size() > kMaxHistory) state.history.pop_front();
+}
+
+void PutInForce(FleetState& state, const ApplyContext& at, Files files, FleetConfig config) {
+  state.files = std::move(files);
+  state.config = std::move(config);
+  ++state.in_force;
+  state.in_force_index = at.index;
+  FollowConfig(state, at);
+}
+
+/// Finds a set of the named pending files that is valid with those in force. Files that are in no
+/// such set are given with the reason. The result depends only on the state.
+struct Selection {
+  std::set<std::string> valid;
+  std::map<std::string, std::string> blocked;
+};
+
+Selection SelectValid(const FleetState& state, const std::set<std::string>& names) {
+  Files files = state.files;
+  for (const auto& name : names) Overlay(files, name, state.pending.at(name).content);
+  if (MergeFor(state, files).ok()) return {.valid = names};
+  Selection selection;
+  files = state.files;
+  // Each pass may make files valid that need one accepted later in the order of names.
+  for (bool progress = true; progress;) {
+    progress = false;
+    for (const auto& name : names) {
+      if (selection.valid.count(name) != 0) continue;
+      Files trial = files;
+      Overlay(trial, name, state.pending.at(name).content);
+      const MergeResult merged = MergeFor(state, trial);
+      if (merged.ok()) {
+        files = std::move(trial);
+        selection.valid.insert(name);
+        selection.blocked.erase(name);
+        progress = true;
+      } else {
+        selection.blocked[name] = FirstReason(merged.errors);
+      }
+    }
+  }
+  return selection;
+}
+
+void MarkPending(FleetState& state, const Selection& selection) {
+  for (const auto& name : selection.valid) {
+    state.pending.at(name).state = ReviewState::kPending;
+    state.pending.at(name).reason.clear();
+  }
+  for (const auto& [name, reason] : selection.blocked) {
+    state.pending.at(name).state = ReviewState::kBlocked;
+    state.pending.at(name).reason = reason;
+  }
+}
+
+/// Validates the pending files again after one of them or the files in force changed.
+void Revalidate(FleetState& state) {
+  if (state.pending.empty()) return;
+  std::set<std::string> names;
+  for (const auto& [name, file] : state.pending) names.insert(name);
+  MarkPending(state, SelectValid(state, names));
+}
+
+std::optional<ApplyResult> CheckSubmission(const FleetState& state, const SubmitConfig& body) {
+  if (body.files.empty()) return Refuse(ResultCode::kInvalid, "the change has no files");
+  for (const auto& [name, content] : body.files) {
+    if (!IsValidFileName(name)) {
+      return Refuse(ResultCode::kInvalid, "\"" + name + "\" is no valid file name");
+    }
+    if (content && content->size() > kMaxFileBytes) {
+      return Refuse(ResultCode::kInvalid, name + " is larger than 4 MiB");
+    }
+    if (!content && state.files.count(name) == 0 && state.pending.count(name) == 0) {
+      return Refuse(ResultCode::kNotFound, "there is no file " + name + " to remove");
+    }
+  }
+  if (state.files.size() + state.pending.size() + body.files.size() > kMaxFiles) {
+    return Refuse(ResultCode::kFull, "there would be more than 1000 files");
+  }
+  return std::nullopt;
+}
+
+/// A submission must be valid together with the other pending files, or on its own with the files
+/// in force.
+std::vector<ConfigError> ErrorsOfSubmission(const FleetState& state, const SubmitConfig& body) {
+  Files alone = state.files;
+  for (const auto& [name, content] : body.files) Overlay(alone, name, content);
+  MergeResult result = MergeFor(state, alone);
+  if (result.ok() || state.pending.empty()) return result.errors;
+  Files together = state.files;
+  for (const auto& [name, file] : state.pending) Overlay(together, name, file.content);
+  for (const auto& [name, content] : body.files) Overlay(together, name, content);
+  if (MergeFor(state, together).ok()) return {};
+  return result.errors;
+}
+
+bool IsInForce(const FleetState& state, const std::string& name,
+               const std::optional<std::string>& content) {
+  const auto it = state.files.find(name);
+  return it == state.files.end() ? !content.has_value() : content == it->second;
+}
+
+ApplyResult Approve(FleetState& state, const ApplyContext& at, const DecideReview& body) {
+  Files files = state.files;
+  for (const auto& name : body.files) Overlay(files, name, state.pending.at(name).content);
+  MergeResult merged = MergeFor(state, files);
+  if (!merged.ok()) {
+    ApplyResult result = Refuse(ResultCode::kInvalid, FirstReason(merged.errors));
+    result.errors = std::move(merged.errors);
+    return result;
+  }
+  for (const auto& name : body.files) state.pending.erase(name);
+  PutInForce(state, at, std::move(files), std::move(merged.config));
+  Record(state, at, body.author, "approve", body.files);
+  Revalidate(state);
+  return {};
+}
+
+}  // namespace
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const SubmitConfig& body) {
+  if (body.base_revision != state.revision) {
+    return Refuse(ResultCode::kConflict, "the change is based on revision " +
+                                             std::to_string(body.base_revision) + ", current is " +
+                                             std::to_string(state.revision));
+  }
+  if (auto refusal = CheckSubmission(state, body)) return *refusal;
+  std::vector<ConfigError> errors = ErrorsOfSubmission(state, body);
+  if (!errors.empty()) {
+    ApplyResult result = Refuse(ResultCode::kInvalid, FirstReason(errors));
+    result.errors = std::move(errors);
+    return result;
+  }
+  std::vector<std::string> changed;
+  for (const auto& [name, content] : body.files) {
+    const bool was_pending = state.pending.erase(name) != 0;
+    if (was_pending || !IsInForce(state, name, content)) changed.push_back(name);
+    // A file submitted as it is in force only withdraws the pending change of it.
+    if (IsInForce(state, name, content)) continue;
+    state.pending[name] = {.content = content,
+                           .change_id = body.change_id,
+                           .revision = state.revision + 1,
+                           .author = body.author,
+                           .submitted = at.now};
+  }
+  if (changed.empty()) return {.message = "nothing changes"};
+  ++state.revision;
+  Record(state, at, body.author, "apply", changed);
+  Revalidate(state);
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const DecideReview& body) {
+  if (body.files.empty()) return Refuse(ResultCode::kInvalid, "no files are named");
+  for (const auto& name : body.files) {
+    if (state.pending.count(name) == 0) {
+      return Refuse(ResultCode::kNotFound, name + " is not pending");
+    }
+  }
+  if (body.approve) return Approve(state, at, body);
+  for (const auto& name : body.files) state.pending.erase(name);
+  Record(state, at, body.author, "veto", body.files);
+  Revalidate(state);
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const LapseReviews&) {
+  if (state.config.fleet.review != ReviewMode::kWindow) return {.message = "no review window"};
+  const WallMs window = state.config.fleet.review_window_s * 1000;
+  std::set<std::string> due;
+  for (const auto& [name, file] : state.pending) {
+    if (file.state == ReviewState::kPending && at.now - file.submitted >= window) due.insert(name);
+  }
+  if (due.empty()) return {.message = "no review window has lapsed"};
+  const Selection selection = SelectValid(state, due);
+  MarkPending(state, selection);
+  if (selection.valid.empty()) return {};
+  Files files = state.files;
+  for (const auto& name : selection.valid) Overlay(files, name, state.pending.at(name).content);
+  MergeResult merged = MergeFor(state, files);
+  for (const auto& name : selection.valid) state.pending.erase(name);
+  PutInForce(state, at, std::move(files), std::move(merged.config));
+  Record(state, at, "", "lapse", {selection.valid.begin(), selection.valid.end()});
+  Revalidate(state);
+  return {};
+}
+
+void FollowConfig(FleetState& state, const ApplyContext& at) {
+  FollowConfigOfVms(state);
+  FollowConfigOfWaves(state, at);
+  FollowConfigOfOwners(state, at);
+  NoteOverLimit(state);
+}
+
+}  // namespace godwitpaddle::detail
--- /dev/null
+++ b/decision/apply_owners.cc
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <cstddef>
+
+#include "decision/apply_detail.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+// A frozen process may come back hours later; daemons restart a few hundred times in that time.
+constexpr std::size_t kMaxFreed = 1'024;
+
+bool IsLive(const FleetState& state, const Incarnation& incarnation) {
+  const auto node = state.nodes.find(incarnation);
+  return node != state.nodes.end() && !node->second.lapsed;
+}
+
+}  // namespace
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext&, const NodeUp& body) {
+  const auto node = state.nodes.find(body.incarnation);
+  const bool freed =
+      std::find(state.freed.begin(), state.freed.end(), body.incarnation) != state.freed.end();
+  if (freed || (node != state.nodes.end() && node->second.lapsed)) {
+    return Refuse(ResultCode::kConflict, body.incarnation + " has lapsed");
+  }
+  NodeRecord& record = state.nodes[body.incarnation] = body.record;
+  record.lapsed = false;
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext&, const NodeLapsed& body) {
+  const auto node = state.nodes.find(body.incarnation);
+  if (node == state.nodes.end()) return Refuse(ResultCode::kNotFound, "unknown incarnation");
+  if (node->second.lapsed) return {};
+  node->second.lapsed = true;
+  LoseClaims(state, body.incarnation);
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext&, const NodeFreed& body) {
+  const auto node = state.nodes.find(body.incarnation);
+  if (node == state.nodes.end()) return Refuse(ResultCode::kNotFound, "unknown incarnation");
+  if (!node->second.lapsed) return Refuse(ResultCode::kConflict, "the node has not lapsed");
+  state.nodes.erase(node);
+  for (auto it = state.allotments.begin(); it != state.allotments.end();) {
+    it->second.erase(body.incarnation);
+    it = it->second.empty() ? state.allotments.erase(it) : std::next(it);
+  }
+  state.freed.push_back(body.incarnation);
+  while (state.freed.size() > kMaxFreed) state.freed.pop_front();
+  NoteOverLimit(state);
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const ReleasePool& body) {
+  const auto owner = state.owners.find(body.pool);
+  if (owner == state.owners.end() || owner->second.epoch != body.epoch) {
+    return Refuse(ResultCode::kConflict, "the epoch is not the current one");
+  }
+  if (owner->second.owner.empty()) return {};
+  owner->second.released_by = owner->second.owner;
+  owner->second.release_index = at.index;
+  owner->second.owner.clear();
+  return {};
+}
+
+ApplyResult ApplyBody(FleetState& state, const ApplyContext& at, const AssignPool& body) {
+  if (state.config.pools.count(body.pool) == 0) {
+    return Refuse(ResultCode::kNotFound, "there is no pool \"" + body.pool + "\"");
+  }
+  if (!IsLive(state, body.owner)) {
+    return Refuse(ResultCode::kConflict, body.owner + " is not live");
+  }
+  const auto it = state.owners.find(body.pool);
+  const PoolOwner current = it == state.owners.end() ? PoolOwner{} : it->second;
+  if (body.epoch != current.epoch + 1) {
+    return Refuse(ResultCode::kConflict, "the epoch is not the next one");
+  }
+  if (IsLive(state, current.owner)) {
+    return Refuse(ResultCode::kConflict, current.owner + " owns the pool");
+  }
+  state.owners[body.pool] = {.owner = body.owner, .epoch = body.epoch, .assigned = at.now};
+  return {};
+}
+
+void FollowConfigOfOwners(FleetState& state, const ApplyContext& at) {
+  // The record of a removed pool stays: its epoch must not start again when the pool returns.
+  for (auto& [pool, owner] : state.owners) {
+    if (state.config.pools.count(pool) != 0 || owner.owner.empty()) continue;
+    owner.released_by = owner.owner;
+    owner.release_index = at.index;
+    owner.owner.clear();
+  }
+}
+
+}  // namespace godwitpaddle::detail
--- a/decision/commands.h
+++ b/decision/commands.h
@@ -167,7 +167,8 @@
   VmPhase from = VmPhase::kDraining;
   VmPhase to = VmPhase::kStopping;
   std::string error;
-  MSGPACK_DEFINE(vm, operation_id, from, to, error)
+  std::string server_incarnation;  // draining to stopping: of the backend server that is stopped
+  MSGPACK_DEFINE(vm, operation_id, from, to, error, server_incarnation)
 };
 
 /// Ends an operation: the VM counts again (reboot, move), or was undrained, or is given up.
--- /dev/null
+++ b/decision/config_reader.cc
@@ -0,0 +1,222 @@
+#include "decision/config_reader.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstddef>
+#include <limits>
+#include <map>
+#include <set>
+#include <string_view>
+#include <type_traits>
+
+#include "decision/config_schema.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxIdLength = 64;
+// Further reasons of one file rarely help and would fill the kept answers.
+constexpr std::size_t kMaxErrors = 50;
+
+std::size_t EditDistance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t substitute = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitute});
+    }
+  }
+  return row[b.size()];
+}
+
+std::string_view Nearest(std::string_view name, const std::vector<std::string_view>& known) {
+  // The distance is quadratic in the length; a name this long is no misspelling of a setting.
+  if (name.size() > kMaxIdLength) name = name.substr(0, kMaxIdLength);
+  return *std::min_element(known.begin(), known.end(), [name](auto a, auto b) {
+    return EditDistance(name, a) < EditDistance(name, b);
+  });
+}
+
+/// Escapes a key for a JSON pointer.
+std::string Escaped(const std::string& key) {
+  std::string out;
+  for (const char c : key) {
+    if (c == '~') {
+      out += "~0";
+    } else if (c == '/') {
+      out += "~1";
+    } else {
+      out += c;
+    }
+  }
+  return out;
+}
+
+/// Visitor that reads the settings of one JSON object.
+class ObjectReader {
+ public:
+  ObjectReader(const json& object, std::string path, std::vector<ConfigError>& errors)
+      : object_(object), path_(std::move(path)), errors_(errors) {}
+
+  void Text(const char* name, std::string& value) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_string()) return Fail(name, Expected("a string", *in));
+    value = in->get_ref<const std::string&>();
+  }
+
+  void Flag(const char* name, bool& value) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_boolean()) return Fail(name, Expected("true or false", *in));
+    value = in->get<bool>();
+  }
+
+  template <typename Integer>
+  void Int(const char* name, Integer& value, std::int64_t low, std::int64_t high) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_number_integer()) return Fail(name, Expected("a whole number", *in));
+    const bool huge = in->is_number_unsigned() &&
+                      in->get<std::uint64_t>() > std::uint64_t{std::numeric_limits<Integer>::max()};
+    const std::int64_t number = huge ? high : in->get<std::int64_t>();
+    if (huge || number < low || number > high) {
+      return Fail(name, "must be from " + std::to_string(low) + " to " + std::to_string(high) +
+                            ", is " + in->dump());
+    }
+    value = static_cast<Integer>(number);
+  }
+
+  void Real(const char* name, double& value, double low, double high) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_number()) return Fail(name, Expected("a number", *in));
+    const auto number = in->get<double>();
+    if (!(number >= low && number <= high)) {
+      return Fail(name, "must be from " + json(low).dump() + " to " + json(high).dump() + ", is " +
+                            in->dump());
+    }
+    value = number;
+  }
+
+  template <typename Container>
+  void Names(const char* name, Container& value) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_array()) return Fail(name, Expected("a list of names", *in));
+    value.clear();
+    for (const json& item : *in) {
+      if (!item.is_string()) return Fail(name, Expected("a list of names", item));
+      const auto& text = item.get_ref<const std::string&>();
+      if (std::find(value.begin(), value.end(), text) != value.end()) {
+        return Fail(name, "names \"" + text + "\" twice");
+      }
+      value.insert(value.end(), text);
+    }
+  }
+
+  void Review(const char* name, ReviewMode& value) {
+    std::string text;
+    Text(name, text);
+    if (text.empty()) return;
+    if (text == "explicit") {
+      value = ReviewMode::kExplicit;
+    } else if (text == "window") {
+      value = ReviewMode::kWindow;
+    } else {
+      Fail(name, "must be \"explicit\" or \"window\", is \"" + text + "\"");
+    }
+  }
+
+  template <typename Item, typename Visit>
+  void Object(const char* name, Item& item, Visit visit) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_object()) return Fail(name, Expected("an object", *in));
+    ObjectReader inner(*in, path_ + "/" + name, errors_);
+    visit(inner, item);
+    inner.RejectUnknown();
+  }
+
+  template <typename Map, typename Visit>
+  void Section(const char* name, Map& items, Visit visit) {
+    const json* in = Find(name);
+    if (in == nullptr) return;
+    if (!in->is_object()) return Fail(name, Expected("an object", *in));
+    const std::string path = path_ + "/" + name + "/";
+    for (const auto& [key, value] : in->items()) {
+      if (!IsValidId(key)) {
+        Add(path + Escaped(key), "is no valid name: use 1 to 64 letters, digits and \"._-\"");
+      } else if (value.is_object()) {
+        ObjectReader inner(value, path + key, errors_);
+        visit(inner, items[key]);
+        inner.RejectUnknown();
+      } else if (!value.is_null()) {
+        Add(path + key, Expected("an object", value));
+      }
+    }
+  }
+
+  /// Reports settings that no call asked for.
+  void RejectUnknown() {
+    if (found_ == object_.size()) return;
+    for (const auto& [key, value] : object_.items()) {
+      if (std::find(known_.begin(), known_.end(), key) != known_.end()) continue;
+      Add(path_ + "/" + Escaped(key),
+          "unknown name; did you mean \"" + std::string(Nearest(key, known_)) + "\"?");
+    }
+  }
+
+ private:
+  const json* Find(const char* name) {
+    known_.emplace_back(name);
+    const auto it = object_.find(name);
+    if (it == object_.end()) return nullptr;
+    ++found_;
+    return it->is_null() ? nullptr : &*it;
+  }
+
+  static std::string Expected(const char* what, const json& in) {
+    return std::string("must be ") + what + ", is " + in.type_name();
+  }
+
+  void Fail(const char* name, std::string reason) { Add(path_ + "/" + name, std::move(reason)); }
+
+  void Add(std::string path, std::string reason) {
+    if (errors_.size() >= kMaxErrors) return;
+    errors_.push_back({.path = std::move(path), .reason = std::move(reason)});
+  }
+
+  const json& object_;
+  std::string path_;
+  std::vector<ConfigError>& errors_;
+  std::vector<std::string_view> known_;
+  std::size_t found_ = 0;
+};
+
+}  // namespace
+
+bool IsValidId(const std::string& name) {
+  return !name.empty() && name.size() <= kMaxIdLength &&
+         std::all_of(name.begin(), name.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '.' || c == '_' || c == '-';
+         });
+}
+
+void ReadConfig(const json& json, FleetConfig& config, std::vector<ConfigError>& errors) {
+  if (!json.is_object()) {
+    errors.push_back({.reason = "the file must hold one JSON object"});
+    return;
+  }
+  ObjectReader reader(json, "", errors);
+  VisitConfig(reader, config);
+  reader.RejectUnknown();
+}
+
+}  // namespace godwitpaddle::detail
--- a/decision/fleet_state.cc
+++ b/decision/fleet_state.cc
@@ -1,8 +1,45 @@
 #include "decision/fleet_state.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace godwitpaddle {
+namespace {
+
+std::optional<std::string> AllotmentViolation(const FleetState& state) {
+  for (const auto& [team, held] : state.allotments) {
+    const auto config = state.config.teams.find(team);
+    int bound = config == state.config.teams.end() ? 0 : config->second.limit;
+    const auto over = state.over_limit.find(team);
+    if (over != state.over_limit.end()) bound = std::max(bound, over->second);
+    int sum = 0;
+    for (const auto& [incarnation, allotment] : held) {
+      sum += allotment.granted;
+      if (allotment.granted < 0 || allotment.target < 0) return "negative allotment of " + team;
+      if (state.nodes.count(incarnation) == 0) {
+        return "allotment of " + team + " at the unknown node " + incarnation;
+      }
+    }
+    if (sum > bound) {
+      return "allotments of " + team + " sum up to " + std::to_string(sum) + " over " +
+             std::to_string(bound);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> VmViolation(const FleetState& state) {
+  for (const auto& [id, vm] : state.vms) {
+    if (state.config.pools.count(vm.pool) == 0) return "VM " + id + " is in no known pool";
+    if (!vm.operation || vm.operation->kind != VmOperationKind::kMove) continue;
+    if (state.config.pools.count(vm.operation->target) == 0) {
+      return "VM " + id + " moves to no known pool";
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
 
 std::string ClaimKey(const QueueId& queue, const std::string& request_id) {
   return queue + ":" + request_id;
@@ -16,4 +53,72 @@
       }));
 }
 
+int GrantedSum(const FleetState& state, const TeamId& team) {
+  const auto it = state.allotments.find(team);
+  if (it == state.allotments.end()) return 0;
+  int sum = 0;
+  for (const auto& [incarnation, allotment] : it->second) sum += allotment.granted;
+  return sum;
+}
+
+bool IsInProgress(const VmOperation& operation) {
+  return operation.phase != VmPhase::kDrained && operation.phase != VmPhase::kFailed;
+}
+
+bool IsRetry(const VmOperation& operation) {
+  return std::string_view(operation.id).ends_with(kRetrySuffix);
+}
+
+std::set<VmId> WaveFailures(const FleetState& state, const WaveId& wave) {
+  std::set<VmId> failures;
+  const auto it = state.waves.find(wave);
+  if (it == state.waves.end()) return failures;
+  const WaveRecord& record = it->second;
+  for (const VmId& vm : record.failed) {
+    if (record.accepted.count(vm) == 0) failures.insert(vm);
+  }
+  for (const auto& [id, vm] : state.vms) {
+    if (record.accepted.count(id) != 0) continue;
+    const bool failing = vm.operation && vm.operation->wave == wave &&
+                         (vm.operation->phase == VmPhase::kFailed || IsRetry(*vm.operation));
+    if (failing || (!vm.healthy && record.done.count(id) != 0)) failures.insert(id);
+  }
+  return failures;
+}
+
+std::optional<std::string> WhyNotStart(const FleetState& state, const VmId& vm) {
+  const auto it = state.vms.find(vm);
+  if (it == state.vms.end()) return "there is no VM " + vm;
+  const VmRecord& record = it->second;
+  if (record.operation) return "the VM has the operation " + record.operation->id;
+  const auto pool = state.config.pools.find(record.pool);
+  if (pool == state.config.pools.end()) return std::nullopt;
+  const int available = AvailableVms(state, record.pool);
+  if (record.healthy && available - 1 < pool->second.min_available) {
+    return "the pool has " + std::to_string(available) + " VMs available and needs " +
+           std::to_string(pool->second.min_available);
+  }
+  if (!pool->second.one_zone_at_a_time) return std::nullopt;
+  for (const auto& [id, other] : state.vms) {
+    if (other.pool != record.pool || other.zone == record.zone || !other.operation) continue;
+    // A VM that arrives by a move was not taken from this pool.
+    if (other.operation->target == other.pool || !IsInProgress(*other.operation)) continue;
+    return "work is in progress in availability zone " + other.zone;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> FindViolation(const FleetState& state) {
+  if (auto violation = AllotmentViolation(state)) return violation;
+  if (auto violation = VmViolation(state)) return violation;
+  for (const auto& [pool, owner] : state.owners) {
+    if (!owner.owner.empty() && state.config.pools.count(pool) == 0) {
+      return "the unknown pool " + pool + " has an owner";
+    }
+  }
+  if (state.in_force_index > state.applied_index) return "in_force_index is in the future";
+  if (state.claim_ages.size() != state.claims.size()) return "claims and their ages differ";
+  return std::nullopt;
+}
+
 }  // namespace godwitpaddle
--- a/decision/fleet_state.h
+++ b/decision/fleet_state.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,9 @@
   PoolId target;  // moves only
   WallMs phase_since = 0;
   std::string error;
-  MSGPACK_DEFINE(id, kind, phase, wave, target, phase_since, error)
+  std::uint64_t phase_index = 0;   // log index of the step into this phase
+  std::string server_incarnation;  // of the backend server when the VM was stopped
+  MSGPACK_DEFINE(id, kind, phase, wave, target, phase_since, error, phase_index, server_incarnation)
 };
 
 /// A VM as the fleet manages it. The map key is the VM, so it has exactly one pool.
@@ -69,7 +72,8 @@
   std::set<VmId> failed;
   WallMs started = 0;
   WallMs ended = 0;
-  MSGPACK_DEFINE(state, reason, run, remaining, done, failed, started, ended)
+  std::set<VmId> accepted;  // failures known at the last resume; they pause the wave no more
+  MSGPACK_DEFINE(state, reason, run, remaining, done, failed, started, ended, accepted)
 };
 
 /// A live or lapsed life of an entry VM.
@@ -88,7 +92,8 @@
   std::uint64_t epoch = 0;
   Incarnation released_by;          // the previous owner while the pool is released
   std::uint64_t release_index = 0;  // log index of the release
-  MSGPACK_DEFINE(owner, epoch, released_by, release_index)
+  WallMs assigned = 0;              // stamp of the assignment
+  MSGPACK_DEFINE(owner, epoch, released_by, release_index, assigned)
 };
 
 /// Part of a team's limit that one incarnation may use: at most min(granted, target) running.
@@ -190,12 +195,16 @@
   std::map<TeamId, std::map<Incarnation, Allotment>> allotments;
   std::map<std::string, Claim> claims;                    // by "<queue>:<id>"
   std::deque<std::pair<WallMs, std::string>> claim_ages;  // in order of claiming
-  std::map<std::string, ApplyResult> results;             // by change id, bounded
+  WallMs claim_floor = 0;  // claims of ids made before this may have been purged
+  std::map<std::string, ApplyResult> results;  // by change id, bounded
   std::deque<std::string> result_order;
+  // Sum of `granted` of the teams whose limit was lowered below it; it may only fall.
+  std::map<TeamId, int> over_limit;
+  std::deque<Incarnation> freed;  // the last freed incarnations, which must not return; bounded
 
   MSGPACK_DEFINE(applied_index, now, files, pending, revision, in_force, in_force_index, config,
                  history, keys, keys_version, vms, waves, nodes, owners, allotments, claims,
-                 claim_ages, results, result_order)
+                 claim_ages, claim_floor, results, result_order, over_limit, freed)
 };
 
 /// Returns the claim key of a request.
@@ -204,6 +213,25 @@
 /// VMs of the pool that count for its availability budget: healthy and without an operation.
 int AvailableVms(const FleetState& state, const PoolId& pool);
 
+/// Sum of `granted` over all incarnations.
+int GrantedSum(const FleetState& state, const TeamId& team);
+
+/// VMs that count as failures of the wave since it was last resumed: given up, failed or in their
+/// second attempt, or lost after their operation.
+std::set<VmId> WaveFailures(const FleetState& state, const WaveId& wave);
+
+/// Whether the operation takes its VM out of service for now; a VM that is drained by hand or has
+/// failed waits for an operator and is not planned work in progress.
+bool IsInProgress(const VmOperation& operation);
+
+/// Whether the operation is the second attempt after a failure.
+bool IsRetry(const VmOperation& operation);
+inline constexpr const char* kRetrySuffix = "-retry";
+
+/// Why planned work on the VM may not start now, or nothing: its own operation, the pool's budget,
+/// or work in progress in another availability zone of the pool.
+std::optional<std::string> WhyNotStart(const FleetState& state, const VmId& vm);
+
 /// Returns the first violated invariant of the state, or nothing: budgets are checked at each
 /// planned step by Apply itself; this checks sums of allotments, references and counters.
 std::optional<std::string> FindViolation(const FleetState& state);
--- /dev/null
+++ b/decision/node_planner.cc
@@ -0,0 +1,29 @@
+#include <algorithm>
+
+#include "decision/planners.h"
+
+namespace godwitpaddle {
+namespace {
+
+/// Time since the node's lease was last granted, as far as this leader can know.
+Micros SilentFor(const FleetView& view, const Incarnation& incarnation, Micros now) {
+  const auto node = view.nodes.find(incarnation);
+  const Micros granted = node == view.nodes.end() ? 0 : node->second.last_granted;
+  return now - std::max(granted, view.leader_since);
+}
+
+}  // namespace
+
+void PlanNodes(const FleetState& state, const FleetView& view, Micros now, Plan& plan) {
+  constexpr Micros kLapse = kNodeLease + kLeaseMargin;
+  for (const auto& [incarnation, node] : state.nodes) {
+    const Micros silent = SilentFor(view, incarnation, now);
+    if (!node.lapsed && silent > kLapse) {
+      plan.commands.emplace_back(NodeLapsed{incarnation});
+    } else if (node.lapsed && silent > kLapse + kTaskLease) {
+      plan.commands.emplace_back(NodeFreed{incarnation});
+    }
+  }
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/owner_planner.cc
@@ -0,0 +1,172 @@
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "decision/planners.h"
+
+namespace godwitpaddle {
+namespace {
+
+// A handover takes a few hundred milliseconds, so these bound the releases per second.
+constexpr int kMaxForcedHandovers = 8;
+constexpr int kMaxBalancingHandovers = 1;
+// A pool moves for balance only when the two owners then differ by this factor less of its load.
+constexpr double kClearImbalance = 2.5;
+// Requests per second that cost an owner about as much as holding one more idle pool.
+constexpr double kRequestsPerLoadUnit = 50;
+
+struct Candidates {
+  std::map<Incarnation, double> load;  // of the nodes that may own pools
+  std::map<Incarnation, std::string> region;
+};
+
+double LoadOf(const FleetView& view, const PoolId& pool) {
+  const auto use = view.pools.find(pool);
+  if (use == view.pools.end()) return 1;
+  return 1 + std::max(0.0, use->second.arrivals_per_s) / kRequestsPerLoadUnit;
+}
+
+bool IsLive(const FleetState& state, const Incarnation& incarnation) {
+  const auto node = state.nodes.find(incarnation);
+  return node != state.nodes.end() && !node->second.lapsed;
+}
+
+Candidates FindCandidates(const FleetState& state, const FleetView& view) {
+  Candidates found;
+  std::optional<Incarnation> leader;
+  for (const auto& [incarnation, node] : state.nodes) {
+    const auto seen = view.nodes.find(incarnation);
+    if (node.lapsed || seen == view.nodes.end() || seen->second.draining) continue;
+    found.region[incarnation] = node.region;
+    if (node.node == view.leader_node) {
+      leader = incarnation;
+    } else {
+      found.load[incarnation] = 0;
+    }
+  }
+  if (leader && found.load.size() < 2) found.load[*leader] = 0;
+  return found;
+}
+
+/// Region of most of the pool's VMs, by pool.
+std::map<PoolId, std::string> HomeRegions(const FleetState& state) {
+  std::map<PoolId, std::map<std::string, int>> counts;
+  for (const auto& [id, vm] : state.vms) ++counts[vm.pool][vm.region];
+  std::map<PoolId, std::string> homes;
+  for (const auto& [pool, regions] : counts) {
+    homes[pool] =
+        std::max_element(regions.begin(), regions.end(), [](const auto& a, const auto& b) {
+          return a.second < b.second;
+        })->first;
+  }
+  return homes;
+}
+
+/// The least loaded candidate of the region, or of all when there is none in the region.
+std::optional<Incarnation> Choose(const Candidates& candidates, const std::string& region) {
+  std::optional<Incarnation> best;
+  bool best_local = false;
+  for (const auto& [incarnation, load] : candidates.load) {
+    const bool local = candidates.region.at(incarnation) == region;
+    const bool better = !best || (local && !best_local) ||
+                        (local == best_local && load < candidates.load.at(*best));
+    if (better) {
+      best = incarnation;
+      best_local = local;
+    }
+  }
+  return best;
+}
+
+/// Whether the releasing node has handed its requests back, or cannot do so any more.
+bool IsReleaseSeen(const FleetState& state, const FleetView& view, const PoolOwner& owner) {
+  if (!IsLive(state, owner.released_by)) return true;
+  const auto node = view.nodes.find(owner.released_by);
+  return node != view.nodes.end() && node->second.applied_index >= owner.release_index;
+}
+
+class OwnerPlan {
+ public:
+  OwnerPlan(const FleetState& state, const FleetView& view, Plan& plan)
+      : state_(state),
+        view_(view),
+        plan_(plan),
+        candidates_(FindCandidates(state, view)),
+        regions_(HomeRegions(state)) {}
+
+  void Run() {
+    if (candidates_.load.empty()) return;
+    CountLoad();
+    for (const auto& [pool, config] : state_.config.pools) AssignIfFree(pool);
+    for (const auto& [pool, config] : state_.config.pools) ReleaseIfMisplaced(pool);
+    if (in_flight_ < kMaxBalancingHandovers) Balance();
+  }
+
+ private:
+  PoolOwner OwnerOf(const PoolId& pool) const {
+    const auto it = state_.owners.find(pool);
+    return it == state_.owners.end() ? PoolOwner{} : it->second;
+  }
+
+  void CountLoad() {
+    for (const auto& [pool, config] : state_.config.pools) {
+      const PoolOwner owner = OwnerOf(pool);
+      const auto load = candidates_.load.find(owner.owner);
+      if (load != candidates_.load.end()) load->second += LoadOf(view_, pool);
+      if (owner.owner.empty()) ++in_flight_;
+    }
+  }
+
+  void AssignIfFree(const PoolId& pool) {
+    const PoolOwner owner = OwnerOf(pool);
+    if (IsLive(state_, owner.owner)) return;
+    if (owner.owner.empty() && !IsReleaseSeen(state_, view_, owner)) return;
+    const auto region = regions_.find(pool);
+    const auto chosen = Choose(candidates_, region == regions_.end() ? "" : region->second);
+    candidates_.load[*chosen] += LoadOf(view_, pool);
+    plan_.commands.emplace_back(
+        AssignPool{.pool = pool, .owner = *chosen, .epoch = owner.epoch + 1});
+  }
+
+  void ReleaseIfMisplaced(const PoolId& pool) {
+    const PoolOwner owner = OwnerOf(pool);
+    if (!IsLive(state_, owner.owner) || candidates_.load.count(owner.owner) != 0) return;
+    // A live owner without a view entry has not renewed since the leader was elected.
+    if (view_.nodes.count(owner.owner) == 0 || in_flight_ >= kMaxForcedHandovers) return;
+    plan_.commands.emplace_back(ReleasePool{.pool = pool, .epoch = owner.epoch});
+    ++in_flight_;
+  }
+
+  /// Releases one pool of the most loaded node when another node of the same region clearly has
+  /// less to do; the pool is then assigned there.
+  void Balance() {
+    for (const auto& [pool, config] : state_.config.pools) {
+      const PoolOwner owner = OwnerOf(pool);
+      const auto load = candidates_.load.find(owner.owner);
+      if (load == candidates_.load.end()) continue;
+      const auto region = regions_.find(pool);
+      const auto other = Choose(candidates_, region == regions_.end() ? "" : region->second);
+      const double gap = load->second - candidates_.load.at(*other);
+      if (*other == owner.owner || gap < kClearImbalance * LoadOf(view_, pool)) continue;
+      plan_.commands.emplace_back(ReleasePool{.pool = pool, .epoch = owner.epoch});
+      return;
+    }
+  }
+
+  const FleetState& state_;
+  const FleetView& view_;
+  Plan& plan_;
+  Candidates candidates_;
+  std::map<PoolId, std::string> regions_;
+  int in_flight_ = 0;
+};
+
+}  // namespace
+
+void PlanOwners(const FleetState& state, const FleetView& view, Micros, Plan& plan) {
+  OwnerPlan(state, view, plan).Run();
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/wave_planner.cc
@@ -0,0 +1,289 @@
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "decision/planners.h"
+
+namespace godwitpaddle {
+namespace {
+
+// A backend server announces itself each second; one or two lost announcements are no loss.
+constexpr Micros kLostAfter = 3 * kSecond;
+constexpr Micros kBackAfter = 5 * kSecond;
+// Nothing runs on a VM that was silent for the silence bound (3 s) and the task lease (5 s); the
+// rest is margin for reports.
+constexpr Micros kDeadAfter = 10 * kSecond;
+// A new owner knows what runs on a VM only after the first announcement since its takeover.
+constexpr WallMs kTakeoverMs = 3'000;
+// A VM boots within a few minutes; later it needs another attempt.
+constexpr WallMs kVerifyTimeoutMs = 600'000;
+
+class WavePlan {
+ public:
+  WavePlan(const FleetState& state, const FleetView& view, Micros now, WallMs wall, Plan& plan)
+      : state_(state), view_(view), now_(now), wall_(wall), plan_(plan) {}
+
+  void Run() {
+    for (const auto& [id, vm] : state_.vms) {
+      if (vm.operation) {
+        Step(id, vm, *vm.operation);
+      } else {
+        WatchHealth(id, vm);
+      }
+    }
+    for (const auto& [id, wave] : state_.waves) {
+      if (wave.state == WaveState::kRunning) Continue(id, wave);
+    }
+    LapseDueReviews();
+  }
+
+ private:
+  // ---- what the owner reports ----
+
+  const NodeView* OwnerView(const PoolId& pool) const {
+    const auto owner = state_.owners.find(pool);
+    if (owner == state_.owners.end()) return nullptr;
+    const auto record = state_.nodes.find(owner->second.owner);
+    if (record == state_.nodes.end() || record->second.lapsed) return nullptr;
+    const auto node = view_.nodes.find(owner->second.owner);
+    return node == view_.nodes.end() ? nullptr : &node->second;
+  }
+
+  VmUse Use(const VmId& vm) const {
+    const auto it = view_.vms.find(vm);
+    return it == view_.vms.end() ? VmUse{} : it->second;
+  }
+
+  /// For how long `ready` has had its present value.
+  Micros Unchanged(const VmId& vm) const {
+    const auto it = view_.vm_changed.find(vm);
+    const Micros since = it == view_.vm_changed.end() ? 0 : it->second;
+    return now_ - std::max(since, view_.leader_since);
+  }
+
+  bool IsGone(const VmId& vm, Micros after) const {
+    return !Use(vm).ready && Unchanged(vm) >= after;
+  }
+
+  void WatchHealth(const VmId& id, const VmRecord& vm) {
+    // Without an owner nobody hears the server, which says nothing about the VM.
+    if (OwnerView(vm.pool) == nullptr) return;
+    const bool ready = Use(id).ready;
+    if (ready == vm.healthy || Unchanged(id) < (ready ? kBackAfter : kLostAfter)) return;
+    plan_.commands.emplace_back(SetVmHealth{.vm = id, .healthy = ready});
+  }
+
+  // ---- steps of operations ----
+
+  void Step(const VmId& id, const VmRecord& vm, const VmOperation& operation) {
+    switch (operation.phase) {
+      case VmPhase::kDraining:
+        return StepDraining(id, vm, operation);
+      case VmPhase::kStopping:
+        plan_.calls.push_back({.operation_id = operation.id,
+                               .vm = id,
+                               .action = std::string(NameOf(kVmOperationKindNames, operation.kind)),
+                               .pool = operation.target});
+        return;
+      case VmPhase::kVerifying:
+        return StepVerifying(id, operation);
+      case VmPhase::kHoldDown:
+        return StepHoldDown(id, vm, operation);
+      case VmPhase::kDrained:
+        return;
+      case VmPhase::kFailed:
+        return StepFailed(id, operation);
+    }
+  }
+
+  /// Whether the pool's owner places no more work on the VM and nothing runs there.
+  bool IsIdle(const VmId& id, const VmRecord& vm, const VmOperation& operation) const {
+    const NodeView* owner = OwnerView(vm.pool);
+    if (owner == nullptr || owner->applied_index < operation.phase_index) return false;
+    if (wall_ - state_.owners.at(vm.pool).assigned < kTakeoverMs) return false;
+    const VmUse use = Use(id);
+    return use.ready ? use.running == 0 : IsGone(id, kDeadAfter);
+  }
+
+  void StepDraining(const VmId& id, const VmRecord& vm, const VmOperation& operation) {
+    const bool by_hand = operation.kind == VmOperationKind::kDrain;
+    if (!by_hand && (IsHeldBack(operation) || IsBelowBudget(vm))) {
+      plan_.commands.emplace_back(
+          FinishVmOperation{.vm = id, .operation_id = operation.id, .succeeded = false});
+      return;
+    }
+    if (!IsIdle(id, vm, operation)) return;
+    Advance(id, operation, by_hand ? VmPhase::kDrained : VmPhase::kStopping, "",
+            Use(id).server_incarnation);
+  }
+
+  void StepVerifying(const VmId& id, const VmOperation& operation) {
+    const VmUse use = Use(id);
+    if (use.ready && use.server_incarnation != operation.server_incarnation) {
+      Advance(id, operation, VmPhase::kHoldDown);
+    } else if (wall_ - operation.phase_since > kVerifyTimeoutMs) {
+      Advance(id, operation, VmPhase::kFailed, "the backend server did not come back ready");
+    }
+  }
+
+  void StepHoldDown(const VmId& id, const VmRecord& vm, const VmOperation& operation) {
+    const auto pool = state_.config.pools.find(vm.pool);
+    const WallMs hold = pool == state_.config.pools.end() ? 0 : pool->second.hold_down_s * 1000;
+    if (OwnerView(vm.pool) != nullptr && IsGone(id, kLostAfter)) {
+      Advance(id, operation, VmPhase::kFailed, "lost again during the hold-down");
+    } else if (Use(id).ready && wall_ - operation.phase_since >= hold) {
+      plan_.commands.emplace_back(FinishVmOperation{.vm = id, .operation_id = operation.id});
+    }
+  }
+
+  /// A failure is retried once. While a wave is paused its failed VMs wait.
+  void StepFailed(const VmId& id, const VmOperation& operation) {
+    const WaveRecord* wave = WaveOf(operation);
+    const bool cancelled = wave != nullptr && wave->state == WaveState::kCancelled;
+    if (IsRetry(operation) || cancelled) {
+      plan_.commands.emplace_back(
+          FinishVmOperation{.vm = id, .operation_id = operation.id, .succeeded = false});
+    } else if (!IsHeldBack(operation)) {
+      Advance(id, operation, VmPhase::kDraining, operation.error);
+    }
+  }
+
+  void Advance(const VmId& id, const VmOperation& operation, VmPhase to, std::string error = "",
+               std::string server = "") {
+    plan_.commands.emplace_back(AdvanceVmOperation{.vm = id,
+                                                   .operation_id = operation.id,
+                                                   .from = operation.phase,
+                                                   .to = to,
+                                                   .error = std::move(error),
+                                                   .server_incarnation = std::move(server)});
+  }
+
+  const WaveRecord* WaveOf(const VmOperation& operation) const {
+    const auto it = state_.waves.find(operation.wave);
+    return it == state_.waves.end() ? nullptr : &it->second;
+  }
+
+  /// Whether the operation belongs to a wave that is not running.
+  bool IsHeldBack(const VmOperation& operation) const {
+    if (operation.wave.empty()) return false;
+    const WaveRecord* wave = WaveOf(operation);
+    return wave == nullptr || wave->state != WaveState::kRunning;
+  }
+
+  bool IsBelowBudget(const VmRecord& vm) {
+    const auto pool = state_.config.pools.find(vm.pool);
+    return vm.healthy && pool != state_.config.pools.end() &&
+           Available(vm.pool) < pool->second.min_available;
+  }
+
+  // ---- waves ----
+
+  void Continue(const WaveId& id, const WaveRecord& wave) {
+    const auto config = state_.config.waves.find(id);
+    if (config == state_.config.waves.end()) return;
+    const std::set<VmId> failures = WaveFailures(state_, id);
+    if (static_cast<int>(failures.size()) >= config->second.pause_after_failures) {
+      std::string reason = std::to_string(failures.size()) + " failures:";
+      for (const VmId& vm : failures) reason += " " + vm;
+      plan_.commands.emplace_back(
+          ControlWave{.wave = id, .action = WaveAction::kPause, .reason = std::move(reason)});
+      return;
+    }
+    int open = 0;
+    for (const VmId& vm : wave.remaining) {
+      const auto it = state_.vms.find(vm);
+      if (it != state_.vms.end() && it->second.operation && it->second.operation->wave == id)
+        ++open;
+    }
+    const int max_parallel = config->second.max_parallel;
+    for (const VmId& vm : Order(wave)) {
+      if (max_parallel > 0 && open >= max_parallel) return;
+      if (Start(id, wave, vm)) ++open;
+    }
+  }
+
+  /// Remaining VMs without an operation: healthy ones first, then by availability zone (the one
+  /// with fewest remaining first, so that a started zone is finished), rack and name.
+  std::vector<VmId> Order(const WaveRecord& wave) const {
+    std::map<std::pair<PoolId, std::string>, int> left;
+    std::vector<std::tuple<bool, int, std::string, std::string, VmId>> order;
+    for (const VmId& vm : wave.remaining) {
+      const auto it = state_.vms.find(vm);
+      if (it != state_.vms.end()) ++left[{it->second.pool, it->second.zone}];
+    }
+    for (const VmId& vm : wave.remaining) {
+      const auto it = state_.vms.find(vm);
+      if (it == state_.vms.end() || it->second.operation) continue;
+      const VmRecord& record = it->second;
+      order.emplace_back(!record.healthy, left[{record.pool, record.zone}], record.zone,
+                         record.rack, vm);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<VmId> vms;
+    for (auto& entry : order) vms.push_back(std::move(std::get<4>(entry)));
+    return vms;
+  }
+
+  bool Start(const WaveId& id, const WaveRecord& wave, const VmId& vm) {
+    if (started_.count(vm) != 0 || WhyNotStart(state_, vm)) return false;
+    const VmRecord& record = state_.vms.at(vm);
+    const auto pool = state_.config.pools.find(record.pool);
+    if (pool != state_.config.pools.end()) {
+      if (record.healthy && Available(record.pool) - 1 < pool->second.min_available) return false;
+      const auto zone = zones_.find(record.pool);
+      if (pool->second.one_zone_at_a_time && zone != zones_.end() && zone->second != record.zone) {
+        return false;
+      }
+    }
+    plan_.commands.emplace_back(
+        StartVmOperation{.vm = vm,
+                         .operation = {.id = id + "-" + std::to_string(wave.run) + "-" + vm,
+                                       .kind = VmOperationKind::kReboot,
+                                       .wave = id}});
+    started_.insert(vm);
+    zones_[record.pool] = record.zone;
+    if (record.healthy) --Available(record.pool);
+    return true;
+  }
+
+  /// Available VMs of the pool, less those that this plan takes.
+  int& Available(const PoolId& pool) {
+    const auto [it, added] = available_.try_emplace(pool, 0);
+    if (added) it->second = AvailableVms(state_, pool);
+    return it->second;
+  }
+
+  void LapseDueReviews() {
+    const FleetOptions& fleet = state_.config.fleet;
+    if (fleet.review != ReviewMode::kWindow) return;
+    const bool due =
+        std::any_of(state_.pending.begin(), state_.pending.end(), [&](const auto& entry) {
+          return entry.second.state == ReviewState::kPending &&
+                 wall_ - entry.second.submitted >= fleet.review_window_s * 1000;
+        });
+    if (due) plan_.commands.emplace_back(LapseReviews{});
+  }
+
+  const FleetState& state_;
+  const FleetView& view_;
+  const Micros now_;
+  const WallMs wall_;
+  Plan& plan_;
+  std::map<PoolId, int> available_;
+  std::map<PoolId, std::string> zones_;  // where this plan starts work
+  std::set<VmId> started_;
+};
+
+}  // namespace
+
+void PlanWaves(const FleetState& state, const FleetView& view, Micros now, WallMs wall,
+               Plan& plan) {
+  WavePlan(state, view, now, wall, plan).Run();
+}
+
+}  // namespace godwitpaddle
