Add tasks, peer links, HTTP, settings, metrics and the daemon

The node is a deterministic machine; this adds what drives it: tasks with bounded mailboxes, TCP frames between nodes, HTTP server and client, a storage thread that merges queued batches under one sync, the platform adapter "http" and the program godwitpaddled.

libcurl repeats a request by itself when a reused connection breaks before the answer.

--- /dev/null
+++ b/daemon/main.cc
@@ -0,0 +1,151 @@
+#include <poll.h>
+#include <popt.h>
+#include <pthread.h>
+#include <sys/signalfd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <memory>
+#include <string>
+
+#include "daemon/process.h"
+#include "runtime/file_descriptor.h"
+#include "runtime/http_platform.h"
+#include "runtime/log.h"
+#include "runtime/platform_adapter.h"
+#include "runtime/settings.h"
+
+namespace godwitpaddle {
+namespace {
+
+constexpr int kUsageError = 2;  // also for settings that cannot be used
+
+struct Arguments {
+  std::string config;
+  std::string check;
+  bool version = false;
+  std::string error;
+};
+
+Arguments ParseArguments(int argc, const char** argv) {
+  char* config = nullptr;
+  char* check = nullptr;
+  int version = 0;
+  const std::array<poptOption, 5> options = {{
+      {"config", 'c', POPT_ARG_STRING, &config, 0, "run with this settings file", "FILE"},
+      {"check", 0, POPT_ARG_STRING, &check, 0, "check a settings file and exit", "FILE"},
+      {"version", 0, POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND,
+  }};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext("godwitpaddled", argc, argv, options.data(), 0), poptFreeContext);
+  Arguments arguments;
+  const int result = poptGetNextOpt(context.get());
+  if (result < -1) {
+    arguments.error = std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(result);
+  } else if (const char* extra = poptGetArg(context.get())) {
+    arguments.error = std::string(extra) + ": unexpected argument";
+  }
+  if (config != nullptr) arguments.config = config;
+  if (check != nullptr) arguments.check = check;
+  arguments.version = version != 0;
+  std::free(config);
+  std::free(check);
+  return arguments;
+}
+
+/// Reads the file and checks what the parser alone cannot know. Throws.
+Settings LoadSettings(const std::string& file) {
+  Settings settings = ReadSettings(file);
+  LinkHttpPlatform();
+  const std::string& adapter = settings.platform.adapter;
+  if (!adapter.empty()) {
+    try {
+      PlatformRegistry::Instance().Make(adapter, {.address = settings.platform.address});
+    } catch (const std::invalid_argument& error) {
+      throw SettingsError(std::string("platform.adapter: ") + error.what());
+    }
+  }
+  return settings;
+}
+
+/// Blocks the signals that end the process, in this thread and those it starts, and returns a
+/// descriptor to read them from.
+FileDescriptor TakeSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return FileDescriptor(signalfd(-1, &signals, SFD_CLOEXEC));
+}
+
+/// Waits until the node exits; the first signal starts the graceful shutdown, a second one ends the
+/// process at once.
+int Supervise(Process& process, const FileDescriptor& signals) {
+  bool stopping = false;
+  while (true) {
+    std::array<pollfd, 2> watched = {
+        {{.fd = signals.get(), .events = POLLIN}, {.fd = process.exit_fd(), .events = POLLIN}}};
+    if (poll(watched.data(), watched.size(), -1) < 0) continue;
+    if (watched[1].revents != 0) return process.Finish();
+    signalfd_siginfo info{};
+    if (read(signals.get(), &info, sizeof(info)) != sizeof(info)) continue;
+    LogEvent(Severity::kInfo, "signal", {{"number", std::to_string(info.ssi_signo)}});
+    if (stopping) std::_Exit(EXIT_FAILURE);
+    stopping = true;
+    process.BeginShutdown();
+  }
+}
+
+int Run(const std::string& file) {
+  const Settings settings = LoadSettings(file);
+  StartLog(settings.log, "godwitpaddled");
+  const FileDescriptor signals = TakeSignals();
+  Process process(settings);
+  process.Start();
+  LogEvent(Severity::kInfo, "started",
+           {{"node", settings.node},
+            {"version", GODWITPADDLE_VERSION},
+            {"peer_address", settings.peer_address},
+            {"http_address", settings.http_address}});
+  return Supervise(process, signals);
+}
+
+int Main(int argc, const char** argv) {
+  const Arguments arguments = ParseArguments(argc, argv);
+  if (!arguments.error.empty()) {
+    std::fprintf(stderr, "godwitpaddled: %s\n", arguments.error.c_str());
+    return kUsageError;
+  }
+  if (arguments.version) {
+    std::puts("godwitpaddled " GODWITPADDLE_VERSION);
+    return EXIT_SUCCESS;
+  }
+  try {
+    if (!arguments.check.empty()) {
+      LoadSettings(arguments.check);
+      std::printf("%s: ok\n", arguments.check.c_str());
+      return EXIT_SUCCESS;
+    }
+    if (!arguments.config.empty()) return Run(arguments.config);
+  } catch (const SettingsError& error) {
+    const std::string& file = arguments.check.empty() ? arguments.config : arguments.check;
+    std::fprintf(stderr, "godwitpaddled: %s: %s\n", file.c_str(), error.what());
+    return kUsageError;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "godwitpaddled: %s\n", error.what());
+    return EXIT_FAILURE;
+  }
+  std::fputs("godwitpaddled: --config FILE is missing; see --help\n", stderr);
+  return kUsageError;
+}
+
+}  // namespace
+}  // namespace godwitpaddle
+
+int main(int argc, char** argv) { return godwitpaddle::Main(argc, const_cast<const char**>(argv)); }
--- /dev/null
+++ b/runtime/http_client.h
@@ -0,0 +1,54 @@
+#ifndef GODWITPADDLE_RUNTIME_HTTP_CLIENT_H_
+#define GODWITPADDLE_RUNTIME_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "node/node.h"
+#include "runtime/task.h"
+
+namespace godwitpaddle {
+
+/// Result of one transfer.
+struct HttpResult {
+  TransferEnd end = TransferEnd::kBroken;
+  int status = 0;
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+  std::string error;
+};
+
+struct HttpTransfer {
+  std::string method = "GET";
+  std::string url;
+  std::map<std::string, std::string> headers;
+  std::string body;
+  std::int64_t timeout_ms = 10'000;  // of the whole transfer
+  std::size_t max_answer_bytes = 16U << 20U;
+  std::function<void(HttpResult)> done;  // runs in the client's thread; optional
+};
+
+/// HTTP client that carries out all transfers in one task and reuses connections. Nothing is ever
+/// sent twice: kNotSent means that no connection was made, kBroken anything after.
+class HttpClient : public Task<HttpTransfer> {
+ public:
+  HttpClient();
+  ~HttpClient() override;
+
+ private:
+  struct Impl;
+
+  void Handle(HttpTransfer transfer) override;
+  void WaitForWork(Micros until) override;
+  void Wake() override;
+
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_RUNTIME_HTTP_CLIENT_H_
--- /dev/null
+++ b/runtime/metrics.cc
@@ -0,0 +1,113 @@
+#include "runtime/metrics.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <boost/histogram.hpp>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string_view>
+#include <utility>
+
+namespace godwitpaddle {
+namespace {
+
+// Bounds of histograms in their own unit: 10 steps per decade over 7 decades.
+constexpr int kBins = 70;
+constexpr double kLowest = 0.01;
+constexpr double kHighest = 100'000;
+
+using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+struct Latencies {
+  boost::histogram::histogram<std::tuple<Axis>> counts =
+      boost::histogram::make_histogram(Axis(kBins, kLowest, kHighest));
+  double sum = 0;
+};
+
+bool IsHistogram(std::string_view name) {
+  return name.ends_with("_ms") || name.ends_with("_us") || name.ends_with("_seconds");
+}
+
+void WriteHistogram(std::ostream& out, const std::string& name, const Latencies& latencies) {
+  const auto& axis = latencies.counts.axis(0);
+  double total = latencies.counts.at(-1);
+  for (int bin = 0; bin < kBins; ++bin) {
+    const double count = latencies.counts.at(bin);
+    total += count;
+    if (count > 0) {  // cumulative counts need no lines for empty bins
+      out << name << "_bucket{le=\"" << axis.bin(bin).upper() << "\"} " << total << '\n';
+    }
+  }
+  total += latencies.counts.at(kBins);
+  out << name << "_bucket{le=\"+Inf\"} " << total << '\n';
+  out << name << "_sum " << latencies.sum << '\n' << name << "_count " << total << '\n';
+}
+
+double CpuSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+}  // namespace
+
+struct Metrics::Impl {
+  mutable std::mutex mutex;
+  std::map<std::string, double> counters;
+  std::map<std::string, Latencies> histograms;
+  std::map<std::string, std::function<double()>> gauges;
+};
+
+Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::Add(const std::string& name, double value) {
+  const std::lock_guard lock(impl_->mutex);
+  if (!IsHistogram(name)) {
+    impl_->counters[name] += value;
+    return;
+  }
+  Latencies& latencies = impl_->histograms[name];
+  latencies.counts(value);
+  latencies.sum += value;
+}
+
+void Metrics::Gauge(const std::string& name, std::function<double()> read) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->gauges[name] = std::move(read);
+}
+
+std::string Metrics::Text() const {
+  const std::string prefix = "godwitpaddle_";
+  std::ostringstream out;
+  out.precision(12);
+  const std::lock_guard lock(impl_->mutex);
+  for (const auto& [name, value] : impl_->counters) out << prefix << name << ' ' << value << '\n';
+  for (const auto& [name, read] : impl_->gauges) out << prefix << name << ' ' << read() << '\n';
+  for (const auto& [name, latencies] : impl_->histograms) {
+    WriteHistogram(out, prefix + name, latencies);
+  }
+  return out.str();
+}
+
+void AddProcessGauges(Metrics& metrics) {
+  metrics.Gauge("process_cpu_seconds_total", CpuSeconds);
+  metrics.Gauge("process_resident_bytes", ResidentBytes);
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/runtime/node_driver.h
@@ -0,0 +1,58 @@
+#ifndef GODWITPADDLE_RUNTIME_NODE_DRIVER_H_
+#define GODWITPADDLE_RUNTIME_NODE_DRIVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "node/node.h"
+#include "runtime/task.h"
+
+namespace godwitpaddle {
+
+/// Where the effects of a node go. None of these may wait for the driver.
+struct EffectSinks {
+  std::function<void(SendEffect)> send;
+  std::function<void(replication::PersistBatch)> persist;  // absent: synced at once (diskless)
+  std::function<void(RespondEffect)> respond;
+  std::function<void(StartTaskEffect)> start_task;
+  std::function<void(OrderTaskEffect)> order_task;
+  std::function<void(PlatformEffect)> call_platform;
+  std::function<void(LogEffect)> log;
+  std::function<void(MetricEffect)> metric;
+  std::function<void(ExitEffect)> exit;
+};
+
+/// The task that owns the node: turns its mailbox into events, ticks, and carries out the effects
+/// in order. An InvariantViolation is logged and ends the process at once, so that no state that
+/// broke an invariant is acted upon.
+class NodeDriver : public Task<Event> {
+ public:
+  using Step = std::function<std::vector<Effect>(const Event&, Micros now, WallMs wall)>;
+
+  NodeDriver(Step step, EffectSinks sinks);
+  ~NodeDriver() override;
+
+ private:
+  void Handle(Event event) override;
+  void Tick();
+  void Carry(std::vector<Effect> effects);
+  void CarryOne(SendEffect effect) { sinks_.send(std::move(effect)); }
+  void CarryOne(PersistEffect effect);
+  void CarryOne(RespondEffect effect) { sinks_.respond(std::move(effect)); }
+  void CarryOne(StartTaskEffect effect) { sinks_.start_task(std::move(effect)); }
+  void CarryOne(OrderTaskEffect effect) { sinks_.order_task(std::move(effect)); }
+  void CarryOne(PlatformEffect effect) { sinks_.call_platform(std::move(effect)); }
+  void CarryOne(LogEffect effect) { sinks_.log(std::move(effect)); }
+  void CarryOne(MetricEffect effect) { sinks_.metric(std::move(effect)); }
+  void CarryOne(ExitEffect effect) { sinks_.exit(std::move(effect)); }
+
+  const Step step_;
+  const EffectSinks sinks_;
+  std::deque<Event> own_events_;  // that effects of the current step caused
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_RUNTIME_NODE_DRIVER_H_
--- /dev/null
+++ b/runtime/peer_sender.h
@@ -0,0 +1,71 @@
+#ifndef GODWITPADDLE_RUNTIME_PEER_SENDER_H_
+#define GODWITPADDLE_RUNTIME_PEER_SENDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "runtime/address.h"
+#include "runtime/file_descriptor.h"
+
+namespace godwitpaddle {
+
+/// Bounds of one destination's queue.
+struct SendQueueLimits {
+  std::size_t frames = 0;
+  std::size_t bytes = 0;
+};
+
+/// The outgoing connection to one destination with its queue. The owner polls the socket.
+class PeerSender {
+ public:
+  /// Throws std::invalid_argument if the address does not parse.
+  PeerSender(const std::string& address, SendQueueLimits limits);
+
+  /// Adds a frame and returns how many were dropped to make room.
+  std::size_t Queue(std::string frame, Micros now);
+
+  /// Starts to connect. Returns false on an immediate failure.
+  bool Connect();
+  /// Writes what the socket takes. Returns false when the connection broke.
+  bool Write();
+  /// Closes the connection and drops the frames that are too old. Returns how many those are.
+  std::size_t Disconnect(Micros now);
+  /// Time until the next attempt to connect: doubles up to a bound, with jitter.
+  Micros NextBackoff(Rng& rng);
+
+  int fd() const { return socket_.get(); }
+  bool connected() const { return connected_; }
+  bool has_frames() const { return !frames_.empty(); }
+  Micros last_used() const { return last_used_; }
+  std::uint64_t sent_frames() const { return sent_frames_; }
+  std::uint64_t sent_bytes() const { return sent_bytes_; }
+
+ private:
+  struct Queued {
+    std::string bytes;
+    Micros queued_at = 0;
+  };
+
+  bool FinishConnect();
+  void DropFront(std::size_t index);
+
+  const SocketAddress address_;
+  const SendQueueLimits limits_;
+  FileDescriptor socket_;
+  bool connected_ = false;
+  std::deque<Queued> frames_;
+  std::size_t queued_bytes_ = 0;
+  std::size_t written_ = 0;  // bytes of the first frame
+  Micros backoff_ = 0;
+  Micros last_used_ = 0;
+  std::uint64_t sent_frames_ = 0;
+  std::uint64_t sent_bytes_ = 0;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_RUNTIME_PEER_SENDER_H_
--- /dev/null
+++ b/runtime/registry.h
@@ -0,0 +1,62 @@
+#ifndef GODWITPADDLE_RUNTIME_REGISTRY_H_
+#define GODWITPADDLE_RUNTIME_REGISTRY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace godwitpaddle {
+
+/// Plug-ins of one interface, by name. A plug-in registers itself at static initialisation:
+///
+///   const bool kRegistered = Registry<Interface, Args...>::Instance().Add("name", factory);
+///
+/// A linker drops an object of a static library that nothing refers to, and its registration with
+/// it. A plug-in in a static library therefore has an empty function that the program calls,
+/// such as LinkHttpPlatform.
+template <typename Interface, typename... Args>
+class Registry {
+ public:
+  using Factory = std::function<std::unique_ptr<Interface>(Args...)>;
+
+  static Registry& Instance() {
+    static Registry registry;
+    return registry;
+  }
+
+  /// Throws std::logic_error if the name is taken.
+  bool Add(const std::string& name, Factory factory) {
+    if (!factories_.emplace(name, std::move(factory)).second) {
+      throw std::logic_error("plug-in registered twice: " + name);
+    }
+    return true;
+  }
+
+  /// Throws std::invalid_argument, naming the known plug-ins, if there is none of this name.
+  std::unique_ptr<Interface> Make(const std::string& name, Args... args) const {
+    const auto found = factories_.find(name);
+    if (found == factories_.end()) {
+      std::string known;
+      for (const auto& [other, factory] : factories_) known += (known.empty() ? "" : ", ") + other;
+      throw std::invalid_argument("no plug-in \"" + name + "\"; known: " + known);
+    }
+    return found->second(std::forward<Args>(args)...);
+  }
+
+  std::vector<std::string> Names() const {
+    std::vector<std::string> names;
+    for (const auto& [name, factory] : factories_) names.push_back(name);
+    return names;
+  }
+
+ private:
+  std::map<std::string, Factory> factories_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_RUNTIME_REGISTRY_H_
--- /dev/null
+++ b/runtime/storage_task.cc
@@ -0,0 +1,69 @@
+#include "runtime/storage_task.h"
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <utility>
+
+namespace godwitpaddle {
+namespace {
+
+// The node waits for each batch's durability, so few are ever under way.
+constexpr std::size_t kMailboxCapacity = 1'024;
+
+}  // namespace
+
+bool MergeBatch(replication::PersistBatch& batch, replication::PersistBatch& next) {
+  if (next.snapshot) return false;
+  if (next.truncate_from) {
+    const replication::Index from = *next.truncate_from;
+    if (batch.append.empty() || from < batch.append.front().index) {
+      // Entries on disk are cut as well; a snapshot of the same batch already replaces them.
+      if (batch.truncate_from) {
+        batch.truncate_from = std::min(*batch.truncate_from, from);
+      } else {
+        batch.truncate_from = from;
+      }
+      batch.append.clear();
+    } else {
+      std::erase_if(batch.append, [from](const auto& entry) { return entry.index >= from; });
+    }
+    next.truncate_from.reset();
+  } else if (!next.append.empty() && !batch.append.empty() &&
+             next.append.front().index != batch.append.back().index + 1) {
+    return false;
+  }
+  if (next.hard_state) batch.hard_state = std::move(next.hard_state);
+  batch.append.insert(batch.append.end(), std::make_move_iterator(next.append.begin()),
+                      std::make_move_iterator(next.append.end()));
+  batch.token = next.token;
+  return true;
+}
+
+StorageTask::StorageTask(Handlers handlers)
+    : Task("storage", kMailboxCapacity), handlers_(std::move(handlers)) {}
+
+StorageTask::~StorageTask() { Stop(); }
+
+void StorageTask::Handle(replication::PersistBatch batch) {
+  if (pending_ && MergeBatch(*pending_, batch)) return;
+  WritePending();
+  pending_ = std::move(batch);
+}
+
+void StorageTask::EndRound() { WritePending(); }
+
+void StorageTask::WritePending() {
+  if (!pending_ || failed_) return;
+  try {
+    handlers_.write(*pending_);
+    const std::uint64_t token = pending_->token;
+    pending_.reset();
+    handlers_.synced(token);
+  } catch (const std::exception& error) {
+    failed_ = true;
+    handlers_.failed(error.what());
+  }
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/tests/runtime_test.cc
@@ -0,0 +1,613 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "runtime/address.h"
+#include "runtime/file_descriptor.h"
+#include "runtime/frame.h"
+#include "runtime/http_client.h"
+#include "runtime/http_platform.h"
+#include "runtime/http_server.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+#include "runtime/node_driver.h"
+#include "runtime/peer_link.h"
+#include "runtime/peer_sender.h"
+#include "runtime/platform_adapter.h"
+#include "runtime/settings.h"
+#include "runtime/storage_task.h"
+
+namespace godwitpaddle {
+namespace {
+
+// Only a hang reaches it.
+constexpr auto kFailAfter = std::chrono::seconds(60);
+
+/// A list that other threads fill and the test waits for.
+template <typename T>
+class Inbox {
+ public:
+  void Add(T value) {
+    const std::lock_guard lock(mutex_);
+    values_.push_back(std::move(value));
+    changed_.notify_all();
+  }
+  T Next() {
+    std::unique_lock lock(mutex_);
+    if (!changed_.wait_for(lock, kFailAfter, [this] { return !values_.empty(); })) {
+      throw std::runtime_error("nothing arrived");
+    }
+    T value = std::move(values_.front());
+    values_.pop_front();
+    return value;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<T> values_;
+};
+
+std::string Local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+FileDescriptor ConnectTo(std::uint16_t port) {
+  const SocketAddress address = ParseAddress(Local(port));
+  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  REQUIRE(connect(socket.get(), address.get(), address.length) == 0);
+  return socket;
+}
+
+void SendAll(const FileDescriptor& socket, std::string_view bytes) {
+  REQUIRE(send(socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(bytes.size()));
+}
+
+PeerMessage Accepted(const std::string& attempt) { return ForwardAccepted{.attempt = attempt}; }
+
+std::string AttemptOf(const PeerMessage& message) {
+  return std::get<ForwardAccepted>(message).attempt;
+}
+
+TEST_CASE("frames survive any cut of the byte stream and nothing else passes") {
+  const FrameHeader header{.group = 7, .sender = "n1"};
+  const std::string bytes = EncodeFrame(header, Accepted("a")) + EncodeFrame(header, Accepted("b"));
+
+  SECTION("byte by byte, both frames come out whole and in order") {
+    FrameReader reader;
+    std::vector<std::string> attempts;
+    for (const char byte : bytes) {
+      reader.Feed({&byte, 1});
+      while (const auto payload = reader.Next()) {
+        const Frame frame = DecodeFrame(*payload);
+        CHECK(frame.header.group == 7);
+        CHECK(frame.header.sender == "n1");
+        attempts.push_back(AttemptOf(frame.message));
+      }
+    }
+    CHECK(attempts == std::vector<std::string>{"a", "b"});
+  }
+  SECTION("a length over the bound is refused before the bytes are collected") {
+    FrameReader reader;
+    reader.Feed({"\x01\x00\x00\x01", 4});
+    CHECK_THROWS_AS(reader.Next(), FrameError);
+    CHECK_THROWS_AS(EncodeFrame(header, Forward{.body = std::string(kMaxFrameBytes, 'x')}),
+                    FrameError);
+  }
+  SECTION("garbage, cut payloads, further bytes and huge counts are malformed") {
+    const std::string whole = EncodeFrame(header, Accepted("a")).substr(4);
+    CHECK_NOTHROW(DecodeFrame(whole));
+    CHECK_THROWS_AS(DecodeFrame("garbage"), FrameError);
+    CHECK_THROWS_AS(DecodeFrame(""), FrameError);
+    CHECK_THROWS_AS(DecodeFrame(whole.substr(0, whole.size() - 1)), FrameError);
+    CHECK_THROWS_AS(DecodeFrame(whole + "x"), FrameError);
+    CHECK_THROWS_AS(DecodeFrame("\xdd\xff\xff\xff\xff"), FrameError);
+  }
+}
+
+TEST_CASE("peer links deliver frames, close malformed connections and drop the oldest") {
+  Inbox<std::string> inbox;
+  PeerLink receiver({.address = "127.0.0.1:0", .header = {.sender = "r"}},
+                    [&](const PeerMessage& message) { inbox.Add(AttemptOf(message)); });
+  receiver.Start();
+  const FrameHeader header{.group = kFirstGroup, .sender = "test"};
+
+  SECTION("what another link sends arrives in order, large frames included") {
+    PeerLink sender({.address = "127.0.0.1:0", .header = {.sender = "s"}}, [](const auto&) {});
+    sender.Start();
+    const std::string large(3U << 20U, 'l');
+    for (const std::string& attempt : {std::string("first"), large, std::string("last")}) {
+      sender.mailbox().Push({.address = Local(receiver.port()), .message = Accepted(attempt)});
+    }
+    CHECK(inbox.Next() == "first");
+    CHECK(inbox.Next() == large);
+    CHECK(inbox.Next() == "last");
+  }
+  SECTION("a malformed frame closes its connection only") {
+    const FileDescriptor bad = ConnectTo(receiver.port());
+    const FileDescriptor good = ConnectTo(receiver.port());
+    SendAll(bad, EncodeFrame(header, Accepted("before")) + std::string("\0\0\0\3abc", 7));
+    char byte = 0;
+    CHECK(recv(bad.get(), &byte, 1, 0) == 0);
+    SendAll(good, EncodeFrame({.group = 9}, Accepted("other group")));
+    SendAll(good, EncodeFrame(header, Accepted("after")));
+    CHECK(inbox.Next() == "before");
+    CHECK(inbox.Next() == "after");
+    CHECK(receiver.counters().malformed_frames == 1);
+  }
+  SECTION("a destination that was away gets the newest frames once it is back") {
+    auto away =
+        std::make_unique<PeerLink>(PeerLinkOptions{.address = "127.0.0.1:0"}, [](const auto&) {});
+    const std::string address = Local(away->port());
+    away.reset();  // the address is now refused
+    PeerLink sender({.address = "127.0.0.1:0", .header = {.sender = "s"}, .max_queue_frames = 2},
+                    [](const auto&) {});
+    sender.Start();
+    PeerLink back({.address = address},
+                  [&](const PeerMessage& message) { inbox.Add(AttemptOf(message)); });
+    for (const char* attempt : {"1", "2", "3"}) {
+      sender.mailbox().Push({.address = address, .message = Accepted(attempt)});
+    }
+    back.Start();
+    // The first may have left before the others came; the newest two always arrive, in order.
+    std::vector<std::string> got;
+    while (got.empty() || got.back() != "3") got.push_back(inbox.Next());
+    REQUIRE(got.size() >= 2);
+    CHECK(got[got.size() - 2] == "2");
+  }
+}
+
+TEST_CASE("a send queue drops the oldest when it is full and what is stale when it breaks") {
+  PeerSender sender("127.0.0.1:9", {.frames = 2, .bytes = 100});
+  CHECK(sender.Queue("1", 0) == 0);
+  CHECK(sender.Queue("2", 0) == 0);
+  CHECK(sender.Queue("3", 5 * kSecond) == 1);
+  CHECK(sender.Queue(std::string(100, '4'), 5 * kSecond) == 2);  // by bytes
+  CHECK(sender.Disconnect(5 * kSecond) == 0);
+  CHECK(sender.Disconnect(7 * kSecond) == 1);
+  CHECK_FALSE(sender.has_frames());
+}
+
+TEST_CASE("a mailbox is bounded and says which messages it lost") {
+  Mailbox<int> mailbox(2);
+  CHECK(mailbox.TryPush(1));
+  CHECK(mailbox.TryPush(2));
+  CHECK_FALSE(mailbox.TryPush(3));
+  CHECK(mailbox.dropped() == 1);
+  CHECK(mailbox.ForcePush(4));
+
+  SECTION("a waiting sender goes on when there is room") {
+    std::thread sender([&] { mailbox.Push(5); });
+    std::deque<int> all;
+    while (all.size() < 4) {
+      mailbox.WaitUntil(kNever);
+      for (const int message : mailbox.TakeAll()) all.push_back(message);
+    }
+    sender.join();
+    CHECK(all == std::deque<int>{1, 2, 4, 5});
+  }
+  SECTION("closing releases senders and refuses messages, but keeps those that are in") {
+    std::thread sender([&] { CHECK_FALSE(mailbox.Push(5)); });
+    mailbox.Close();
+    sender.join();
+    CHECK_FALSE(mailbox.TryPush(6));
+    CHECK(mailbox.TakeAll() == std::deque<int>{1, 2, 4});
+  }
+}
+
+TEST_CASE("timers run once, in order, and can be cancelled") {
+  Timers timers;
+  std::string order;
+  timers.At(20, [&] { order += 'b'; });
+  timers.At(10, [&] {
+    order += 'a';
+    timers.At(0, [&] { order += 'c'; });
+  });
+  timers.Cancel(timers.At(15, [&] { order += 'x'; }));
+  CHECK(timers.Next() == 10);
+  timers.RunDue(20);
+  CHECK(order == "ab");  // a timer set by a timer waits for the next round: no endless round
+  timers.RunDue(20);
+  CHECK(order == "abc");
+  CHECK(timers.Next() == kNever);
+}
+
+const std::string kSettings = R"({
+  // one entry VM
+  "node": "n1", "region": "r", "zone": "a",
+  "peer_address": "127.0.0.1:7001", "http_address": "127.0.0.1:8001",
+  "seeds": ["127.0.0.1:7002"]%s
+})";
+
+std::string SettingsWith(const std::string& more) {
+  std::string text = kSettings;
+  return text.replace(text.find("%s"), 2, more);
+}
+
+std::string ErrorOf(const std::string& text) {
+  try {
+    ParseSettings(text);
+    return "accepted";
+  } catch (const SettingsError& error) {
+    return error.what();
+  }
+}
+
+TEST_CASE("settings are strict and name the path of a mistake") {
+  const Settings plain = ParseSettings(SettingsWith(""));
+  CHECK(plain.node == "n1");
+  CHECK(plain.seeds == std::vector<std::string>{"127.0.0.1:7002"});
+  CHECK_FALSE(plain.data_folder);
+  CHECK(plain.voter_target == 3);
+
+  const Settings full = ParseSettings(SettingsWith(R"(, "data_folder": "/d", "voter_target": 5,
+      "platform": {"adapter": "http", "address": "127.0.0.1:9000"},
+      "limits": {"max_body_kb": 64}, "log": {"level": "warning"})"));
+  CHECK(full.data_folder == "/d");
+  CHECK(full.platform.adapter == "http");
+  CHECK(full.limits.max_body_kb == 64);
+  CHECK(full.log.level == Severity::kWarning);
+
+  CHECK(ErrorOf(SettingsWith(R"(, "noed": 1)")) == "noed is not a known key");
+  CHECK(ErrorOf(SettingsWith(R"(, "limits": {"max_body": 1})")) ==
+        "limits.max_body is not a known key");
+  CHECK(ErrorOf(SettingsWith(R"(, "limits": {"max_body_kb": "1"})")) ==
+        "limits.max_body_kb must be an integer");
+  CHECK(ErrorOf(SettingsWith(R"(, "limits": {"max_body_kb": 0})")) ==
+        "limits.max_body_kb must be between 1 and 15360");
+  CHECK(ErrorOf(SettingsWith(R"(, "voter_target": 4)")) == "voter_target must be 3 or 5");
+  CHECK(ErrorOf(SettingsWith(R"(, "node": "n2")")) == "node is given twice");
+  CHECK(ErrorOf(SettingsWith(R"(, "platform": {"adapter": "http"})")) ==
+        "platform.address is missing");
+  CHECK(ErrorOf(SettingsWith(R"(, "platform": {"adapter": "http", "address": "host:1"})")) ==
+        "platform.address: not an IP number and port: \"host:1\"");
+  CHECK(ErrorOf(SettingsWith(R"(, "log": {"level": "loud"})")) ==
+        "log.level must be info, warning or error");
+  CHECK(ErrorOf(R"({"node": 1})") == "node must be a string");
+  CHECK(ErrorOf("[]") == "the file must be an object");
+  CHECK(ErrorOf("{").find("not JSON") == 0);
+}
+
+TEST_CASE("addresses are IP numbers with a port") {
+  CHECK_NOTHROW(ParseAddress("127.0.0.1:0"));
+  CHECK_NOTHROW(ParseAddress("[::1]:80"));
+  for (const char* bad : {"", "127.0.0.1", "localhost:80", "127.0.0.1:", "127.0.0.1:70000",
+                          "::1:80", "127.0.0.1:80x"}) {
+    CHECK_THROWS_AS(ParseAddress(bad), std::invalid_argument);
+  }
+}
+
+TEST_CASE("plug-ins register under their names") {
+  struct Shape {
+    virtual ~Shape() = default;
+  };
+  Registry<Shape, int>& registry = Registry<Shape, int>::Instance();
+  registry.Add("square", [](int) { return std::make_unique<Shape>(); });
+  CHECK(registry.Make("square", 1) != nullptr);
+  CHECK_THROWS_AS(registry.Add("square", {}), std::logic_error);
+  CHECK_THROWS_WITH(registry.Make("circle", 1), "no plug-in \"circle\"; known: square");
+
+  LinkHttpPlatform();  // the linker must keep the adapter of the static library
+  CHECK(PlatformRegistry::Instance().Names() == std::vector<std::string>{"http"});
+}
+
+TEST_CASE("log lines are one line of key=value pairs whatever the values hold") {
+  CHECK(FormatEvent("e", {{"a", "plain"}, {"b", "two words"}, {"c", ""}, {"d", "x\n\"y\""}}) ==
+        R"(event=e a=plain b="two words" c="" d="x\x0a\"y\"")");
+  CHECK(FormatWall(1764812520005) == "2025-12-04T01:42:00.005Z");
+}
+
+TEST_CASE("metrics are counters or histograms by name") {
+  Metrics metrics;
+  metrics.Add("requests", 1);
+  metrics.Add("requests", 2);
+  metrics.Add("wait_ms", 5);
+  metrics.Add("wait_ms", 1e9);  // above all bins, but counted
+  metrics.Gauge("queue", [] { return 4.0; });
+  const std::string text = metrics.Text();
+  CHECK(text.find("godwitpaddle_requests 3\n") != std::string::npos);
+  CHECK(text.find("godwitpaddle_queue 4\n") != std::string::npos);
+  CHECK(text.find("godwitpaddle_wait_ms_count 2\n") != std::string::npos);
+  CHECK(text.find("godwitpaddle_wait_ms_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+}
+
+/// Server whose requests the test takes and answers by hand.
+struct ManualServer {
+  Inbox<HttpEvent> requests;
+  Inbox<std::uint64_t> closed;
+  bool accept = true;
+  HttpServer server;
+
+  explicit ManualServer(HttpServerOptions options = {})
+      : server(
+            [&] {
+              options.address = "127.0.0.1:0";
+              return options;
+            }(),
+            {.deliver =
+                 [this](HttpEvent event) {
+                   if (accept) requests.Add(std::move(event));
+                   return accept;
+                 },
+             .closed = [this](std::uint64_t number) { closed.Add(number); },
+             .local =
+                 [](const HttpEvent& event) {
+                   return event.path == "/metrics" ? std::optional(RespondEffect{.body = "local"})
+                                                   : std::nullopt;
+                 }}) {}
+
+  std::string Url(const std::string& path) const { return "http://" + Local(server.port()) + path; }
+};
+
+std::future<HttpResult> Begin(HttpClient& client, HttpTransfer transfer) {
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  transfer.done = [promise](HttpResult result) { promise->set_value(std::move(result)); };
+  client.mailbox().Push(std::move(transfer));
+  return promise->get_future();
+}
+
+HttpResult Wait(std::future<HttpResult> result) {
+  REQUIRE(result.wait_for(kFailAfter) == std::future_status::ready);
+  return result.get();
+}
+
+TEST_CASE("HTTP server and client carry whole requests and answers") {
+  ManualServer manual({.max_body_bytes = 1'000});
+  HttpClient client;
+  client.Start();
+
+  SECTION("a request arrives whole, and late answers go to the right callers") {
+    auto first = Begin(client, {.method = "POST",
+                                .url = manual.Url("/v1/x%20y?a=1&b="),
+                                .headers = {{"X-Some-Header", "Value"}},
+                                .body = std::string(1'000, 'b')});
+    const HttpEvent one = manual.requests.Next();
+    CHECK(one.method == "POST");
+    CHECK(one.path == "/v1/x y");
+    CHECK(one.query == std::map<std::string, std::string>{{"a", "1"}, {"b", ""}});
+    CHECK(one.headers.at("x-some-header") == "Value");
+    CHECK(one.body == std::string(1'000, 'b'));
+    auto second = Begin(client, {.method = "DELETE", .url = manual.Url("/second")});
+    const HttpEvent two = manual.requests.Next();
+    CHECK(two.method == "DELETE");
+    manual.server.Respond({.connection = two.connection, .status = 404, .body = "two"});
+    manual.server.Respond({.connection = one.connection,
+                           .status = 200,
+                           .headers = {{"X-Not-Run", "true"}},
+                           .body = "one"});
+    const HttpResult late = Wait(std::move(first));
+    CHECK(late.end == TransferEnd::kAnswered);
+    CHECK(late.body == "one");
+    CHECK(late.headers.at("x-not-run") == "true");
+    CHECK(Wait(std::move(second)).status == 404);
+  }
+  SECTION("a body over the bound is answered 413 and never delivered") {
+    for (const std::size_t bytes : {1'001U, 30'000U}) {
+      const HttpResult refused = Wait(
+          Begin(client,
+                {.method = "POST", .url = manual.Url("/large"), .body = std::string(bytes, 'x')}));
+      CHECK(refused.status == 413);
+      CHECK(refused.body.find("\"not_run\":true") != std::string::npos);
+    }
+    auto next = Begin(client, {.url = manual.Url("/next")});
+    const HttpEvent request = manual.requests.Next();
+    CHECK(request.path == "/next");
+    manual.server.Respond({.connection = request.connection});
+    CHECK(Wait(std::move(next)).status == 200);
+  }
+  SECTION("local requests and those that cannot be taken are answered at once") {
+    CHECK(Wait(Begin(client, {.url = manual.Url("/metrics")})).body == "local");
+    manual.accept = false;
+    const HttpResult refused = Wait(Begin(client, {.url = manual.Url("/")}));
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.at("retry-after") == "1");
+  }
+  SECTION("oversized headers are refused") {
+    const HttpResult refused = Wait(
+        Begin(client, {.url = manual.Url("/"), .headers = {{"X-Long", std::string(40'000, 'h')}}}));
+    CHECK(refused.status == 431);
+  }
+  SECTION("a caller that goes away before the answer is noticed") {
+    FileDescriptor caller = ConnectTo(manual.server.port());
+    SendAll(caller, "GET /gone HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::uint64_t number = manual.requests.Next().connection;
+    caller.Reset();
+    CHECK(manual.closed.Next() == number);
+    manual.server.Respond({.connection = number});  // too late; must be ignored
+  }
+  SECTION("a stopping server answers what it holds and takes nothing new") {
+    auto held = Begin(client, {.url = manual.Url("/held")});
+    const std::uint64_t number = manual.requests.Next().connection;
+    std::thread answer([&] { manual.server.Respond({.connection = number, .body = "whole"}); });
+    manual.server.Stop(60 * kSecond);
+    answer.join();
+    CHECK(Wait(std::move(held)).body == "whole");
+  }
+  SECTION("a server that stops without the answer says that the outcome is unknown") {
+    auto held = Begin(client, {.url = manual.Url("/held")});
+    manual.requests.Next();
+    manual.server.Stop(0);
+    CHECK(Wait(std::move(held)).status == 504);
+  }
+}
+
+TEST_CASE("the HTTP client tells apart what was not sent from what broke") {
+  ManualServer manual;
+  HttpClient client;
+  client.Start();
+
+  SECTION("no connection: not sent") {
+    auto gone = std::make_unique<ManualServer>();
+    const std::string url = gone->Url("/");
+    gone.reset();
+    CHECK(Wait(Begin(client, {.method = "POST", .url = url})).end == TransferEnd::kNotSent);
+  }
+  SECTION("a connection that breaks after the request: broken") {
+    auto result = Begin(client, {.method = "POST", .url = manual.Url("/"), .body = "x"});
+    manual.server.Respond(
+        {.connection = manual.requests.Next().connection, .status = kCloseWithoutAnswer});
+    CHECK(Wait(std::move(result)).end == TransferEnd::kBroken);
+  }
+  SECTION("a request that breaks on a reused connection is not sent a second time") {
+    // libcurl repeats such a request by itself, which would run a task twice.
+    for (const char* body : {"", "x"}) {
+      auto first = Begin(client, {.method = "POST", .url = manual.Url("/1"), .body = "x"});
+      manual.server.Respond({.connection = manual.requests.Next().connection});
+      CHECK(Wait(std::move(first)).end == TransferEnd::kAnswered);
+      auto second = Begin(client, {.method = "POST", .url = manual.Url("/2"), .body = body});
+      manual.server.Respond(
+          {.connection = manual.requests.Next().connection, .status = kCloseWithoutAnswer});
+      CHECK(Wait(std::move(second)).end == TransferEnd::kBroken);
+      auto third = Begin(client, {.method = "POST", .url = manual.Url("/3"), .body = "x"});
+      const HttpEvent next = manual.requests.Next();
+      CHECK(next.path == "/3");
+      manual.server.Respond({.connection = next.connection});
+      CHECK(Wait(std::move(third)).end == TransferEnd::kAnswered);
+    }
+  }
+  SECTION("the deadline passes: broken, and the server notices") {
+    auto result = Begin(client, {.method = "POST", .url = manual.Url("/"), .timeout_ms = 50});
+    CHECK(Wait(std::move(result)).end != TransferEnd::kAnswered);
+  }
+  SECTION("an answer over the bound: broken") {
+    auto result = Begin(client, {.url = manual.Url("/"), .max_answer_bytes = 10});
+    manual.server.Respond(
+        {.connection = manual.requests.Next().connection, .body = std::string(11, 'x')});
+    const HttpResult broken = Wait(std::move(result));
+    CHECK(broken.end == TransferEnd::kBroken);
+    CHECK(broken.error == "the answer is too large");
+  }
+}
+
+TEST_CASE("the platform adapter puts the operation and then asks for its state") {
+  ManualServer platform;
+  HttpClient client;
+  client.Start();
+  const auto adapter = PlatformRegistry::Instance().Make(
+      "http", {.address = Local(platform.server.port()), .client = &client});
+  Inbox<PlatformEvent> events;
+  adapter->Call({.operation_id = "op1", .vm = "vm1", .action = "reboot"},
+                [&](PlatformEvent event) { events.Add(std::move(event)); });
+  const HttpEvent put = platform.requests.Next();
+  CHECK(put.method == "PUT");
+  CHECK(put.path == "/operations/op1");
+  CHECK(put.body == R"({"action":"reboot","vm":"vm1"})");
+
+  SECTION("a refused call is reported as unreachable") {
+    platform.server.Respond({.connection = put.connection, .status = 500});
+    CHECK(events.Next().state == PlatformState::kUnreachable);
+  }
+  SECTION("the state and the error come back") {
+    platform.server.Respond({.connection = put.connection});
+    const HttpEvent get = platform.requests.Next();
+    CHECK(get.method == "GET");
+    platform.server.Respond(
+        {.connection = get.connection, .body = R"({"state":"failed","error":"no such vm"})"});
+    const PlatformEvent event = events.Next();
+    CHECK(event.operation_id == "op1");
+    CHECK(event.state == PlatformState::kFailed);
+    CHECK(event.error == "no such vm");
+  }
+}
+
+replication::Entry EntryAt(replication::Index index, const std::string& payload) {
+  return {.term = 1, .index = index, .payload = payload};
+}
+
+std::string PayloadsOf(const replication::PersistBatch& batch) {
+  std::string payloads;
+  for (const auto& entry : batch.append) payloads += entry.payload;
+  return payloads;
+}
+
+TEST_CASE("batches that queue up are written as one and mean the same") {
+  replication::PersistBatch batch{
+      .token = 1, .hard_state = {{1, "a"}}, .append = {EntryAt(5, "e"), EntryAt(6, "f")}};
+
+  SECTION("appends join, and the newest vote wins") {
+    replication::PersistBatch next{
+        .token = 2, .hard_state = {{2, "b"}}, .append = {EntryAt(7, "g")}};
+    REQUIRE(MergeBatch(batch, next));
+    CHECK(batch.token == 2);
+    CHECK(batch.hard_state->first == 2);
+    CHECK(PayloadsOf(batch) == "efg");
+  }
+  SECTION("a truncation drops entries that wait, and those on disk when it reaches there") {
+    replication::PersistBatch next{.token = 2, .truncate_from = 6, .append = {EntryAt(6, "x")}};
+    REQUIRE(MergeBatch(batch, next));
+    CHECK(PayloadsOf(batch) == "ex");
+    CHECK_FALSE(batch.truncate_from);
+    replication::PersistBatch deeper{.token = 3, .truncate_from = 3, .append = {EntryAt(3, "y")}};
+    REQUIRE(MergeBatch(batch, deeper));
+    CHECK(PayloadsOf(batch) == "y");
+    CHECK(batch.truncate_from == 3);
+  }
+  SECTION("snapshots and gaps are not merged") {
+    replication::PersistBatch snapshot{.token = 2, .snapshot = replication::Snapshot{}};
+    CHECK_FALSE(MergeBatch(batch, snapshot));
+    replication::PersistBatch gap{.token = 2, .append = {EntryAt(9, "i")}};
+    CHECK_FALSE(MergeBatch(batch, gap));
+    CHECK(PayloadsOf(batch) == "ef");
+  }
+}
+
+TEST_CASE("the storage task syncs in order and stops at the first failure") {
+  Inbox<std::uint64_t> synced;
+  Inbox<std::string> failures;
+  StorageTask storage({.write =
+                           [](const replication::PersistBatch& batch) {
+                             if (batch.token == 3) throw std::runtime_error("disk full");
+                           },
+                       .synced = [&](std::uint64_t token) { synced.Add(token); },
+                       .failed = [&](const std::string& reason) { failures.Add(reason); }});
+  storage.Start();
+  storage.mailbox().Push({.token = 1});
+  CHECK(synced.Next() == 1);
+  storage.mailbox().Push({.token = 3});
+  CHECK(failures.Next() == "disk full");
+  storage.mailbox().Push({.token = 4});  // must not be reported as durable
+  storage.Stop();
+  storage.mailbox().Close();
+  synced.Add(99);
+  CHECK(synced.Next() == 99);
+}
+
+TEST_CASE("the driver ticks, steps and carries out effects in order") {
+  Inbox<std::string> carried;
+  Inbox<int> ticks;
+  const auto step = [&](const Event& event, Micros, WallMs) -> std::vector<Effect> {
+    if (std::holds_alternative<TickEvent>(event)) {
+      ticks.Add(1);
+      return {};
+    }
+    if (const auto* synced = std::get_if<SyncedEvent>(&event)) {
+      return {RespondEffect{.body = "synced " + std::to_string(synced->token)}};
+    }
+    if (std::holds_alternative<ShutdownEvent>(event)) return {ExitEffect{.reason = "drained"}};
+    PersistEffect persist;
+    persist.batch.token = 8;
+    return {persist, SendEffect{.address = "peer"}};
+  };
+  EffectSinks sinks;
+  sinks.send = [&](const SendEffect& effect) { carried.Add("send " + effect.address); };
+  sinks.respond = [&](const RespondEffect& effect) { carried.Add(effect.body); };
+  sinks.exit = [&](const ExitEffect& effect) { carried.Add(effect.reason); };
+  NodeDriver driver(step, sinks);
+  driver.Start();
+  ticks.Next();
+  ticks.Next();
+  driver.mailbox().Push(HttpEvent{});
+  CHECK(carried.Next() == "send peer");
+  CHECK(carried.Next() == "synced 8");  // without a disk, durable at once
+  driver.mailbox().Push(ShutdownEvent{});
+  CHECK(carried.Next() == "drained");
+}
+
+}  // namespace
+}  // namespace godwitpaddle
