--- a/node/admin.cc
+++ b/node/admin.cc
@@ -1,6 +1,7 @@
 #include "node/admin.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -231,8 +232,8 @@
 }
 
 bool IsKnownPath(const std::vector<std::string>& parts) {
-  static const std::vector<std::string> kResources = {"config", "review", "changes", "history",
-                                                      "keys",   "waves",  "status",  "members"};
+  static constexpr std::array<std::string_view, 8> kResources = {
+      "config", "review", "changes", "history", "keys", "waves", "status", "members"};
   if (parts.size() == 1) {
     return std::find(kResources.begin(), kResources.end(), parts[0]) != kResources.end();
   }
@@ -250,8 +251,7 @@
   const auto authorization = request.headers.find("authorization");
   const KeyRecord* key =
       authorization == request.headers.end() ? nullptr : FindKey(state, authorization->second);
-  if (key == nullptr)
-    throw AdminError(401, "unauthorized", "an operator or customer key is needed");
+  if (key == nullptr) throw AdminError(401, "unauthorized", "unknown or missing key");
   RequireRole(*key, {KeyRole::kOperator, KeyRole::kCustomer});
   if (!IsKnownPath(parts)) throw AdminError(404, "not_found", "no such path");
   if (request.method == "GET") {
--- a/tests/admin_test.cc
+++ b/tests/admin_test.cc
@@ -52,8 +52,8 @@
   }
 };
 
-const Json kChange = {{"change_id", "c1"}, {"base_revision", 4}, {"files", {{"10-a.json", "{}"}}}};
-const Json kReview = {{"change_id", "c2"}, {"approve", true}, {"files", {"10-a.json"}}};
+const Json change = {{"change_id", "c1"}, {"base_revision", 4}, {"files", {{"10-a.json", "{}"}}}};
+const Json review = {{"change_id", "c2"}, {"approve", true}, {"files", {"10-a.json"}}};
 
 Json Grant(const std::string& role) {
   Json grant = {{"change_id", "g1"}, {"id", "k1"}, {"role", role}, {"hash", std::string(64, 'a')}};
@@ -67,7 +67,7 @@
     CHECK(Status("", "GET", "config") == 401);
     CHECK(Status("nobody", "GET", "config") == 401);
     CHECK(Status("team", "GET", "config") == 403);
-    CHECK(Status("team", "POST", "changes", kChange) == 403);
+    CHECK(Status("team", "POST", "changes", change) == 403);
     HttpEvent basic{.method = "GET", .path = "/v1/admin/config"};
     basic.headers["authorization"] = "Basic secret-op";
     CHECK(std::get<RespondEffect>(PlanAdmin(basic, state, kWall)).status == 401);
@@ -83,14 +83,14 @@
     CHECK(keys.find("hash") == std::string::npos);
   }
   SECTION("an operator submits but neither approves nor vetoes") {
-    const auto change = Command<SubmitConfig>(Ask("op", "POST", "changes", kChange));
-    CHECK(change.author == "op");
-    CHECK(change.base_revision == 4);
-    CHECK(Status("op", "POST", "review", kReview) == 403);
+    const auto submitted = Command<SubmitConfig>(Ask("op", "POST", "changes", change));
+    CHECK(submitted.author == "op");
+    CHECK(submitted.base_revision == 4);
+    CHECK(Status("op", "POST", "review", review) == 403);
   }
   SECTION("a customer decides reviews but changes nothing else") {
-    CHECK(Command<DecideReview>(Ask("cust", "POST", "review", kReview)).approve);
-    CHECK(Status("cust", "POST", "changes", kChange) == 403);
+    CHECK(Command<DecideReview>(Ask("cust", "POST", "review", review)).approve);
+    CHECK(Status("cust", "POST", "changes", change) == 403);
     CHECK(Status("cust", "POST", "waves/spring", {{"change_id", "w"}, {"action", "start"}}) == 403);
     CHECK(Status("cust", "POST", "vms/vm1/drain", {{"change_id", "d"}}) == 403);
   }
@@ -117,19 +117,19 @@
   };
   CHECK(Status("op", "POST", "changes", "{") == 400);
   CHECK(Status("op", "POST", "changes", "[]") == 400);
-  CHECK(Status("op", "POST", "changes", changed(kChange, "extra", 1)) == 400);
-  CHECK(Status("op", "POST", "changes", changed(kChange, "change_id", "a b")) == 400);
-  CHECK(Status("op", "POST", "changes", changed(kChange, "change_id", std::string(129, 'a'))) ==
+  CHECK(Status("op", "POST", "changes", changed(change, "extra", 1)) == 400);
+  CHECK(Status("op", "POST", "changes", changed(change, "change_id", "a b")) == 400);
+  CHECK(Status("op", "POST", "changes", changed(change, "change_id", std::string(129, 'a'))) ==
         400);
-  CHECK(Status("op", "POST", "changes", changed(kChange, "base_revision", -1)) == 400);
-  CHECK(Status("op", "POST", "changes", changed(kChange, "files", Json::object())) == 400);
+  CHECK(Status("op", "POST", "changes", changed(change, "base_revision", -1)) == 400);
+  CHECK(Status("op", "POST", "changes", changed(change, "files", Json::object())) == 400);
   for (const std::string name : {"../a.json", "a.txt", ".json", ""}) {
-    CHECK(Status("op", "POST", "changes", changed(kChange, "files", {{name, "{}"}})) == 400);
+    CHECK(Status("op", "POST", "changes", changed(change, "files", {{name, "{}"}})) == 400);
   }
   CHECK(Status("op", "POST", "changes",
-               changed(kChange, "files", {{"a.json", std::string((1U << 20U) + 1, ' ')}})) == 400);
+               changed(change, "files", {{"a.json", std::string((1U << 20U) + 1, ' ')}})) == 400);
   CHECK(Status("op", "POST", "changes", std::string((4U << 20U) + 1, ' ')) == 413);
-  CHECK(Status("cust", "POST", "review", changed(kReview, "approve", "yes")) == 400);
+  CHECK(Status("cust", "POST", "review", changed(review, "approve", "yes")) == 400);
   CHECK(Status("op", "POST", "keys", changed(Grant("team"), "hash", "AA")) == 400);
   CHECK(Status("op", "POST", "keys", changed(Grant("operator"), "team", "harbour")) == 400);
   CHECK(Status("op", "POST", "waves/spring", {{"change_id", "w"}, {"action", "stop"}}) == 400);
@@ -137,7 +137,7 @@
   CHECK(Status("op", "POST", "vms/vm9/drain", {{"change_id", "d"}}) == 404);
   CHECK(Status("op", "GET", "nothing") == 404);
   CHECK(Status("op", "PUT", "config") == 405);
-  const auto removal = changed(kChange, "files", {{"10-a.json", nullptr}});
+  const auto removal = changed(change, "files", {{"10-a.json", nullptr}});
   CHECK_FALSE(Command<SubmitConfig>(Ask("op", "POST", "changes", removal))
                   .files.at("10-a.json")
                   .has_value());
--- a/tests/service_level_test.cc
+++ b/tests/service_level_test.cc
@@ -66,11 +66,12 @@
     }
   }
   SECTION("samples stay bounded over a day, and the windows keep their length") {
-    Run(24 * 60 * kMinute, 100, 0);
+    Run(Micros{24} * 60 * kMinute, 100, 0);
     CHECK(history.samples.size() < 200);
     for (const Micros window : {5 * kMinute, 60 * kMinute, 360 * kMinute}) {
-      const double expected = 100.0 * static_cast<double>(window / kBurnSample);
-      CHECK(static_cast<double>(Line(window).counts.in_time) == Approx(expected).epsilon(0.05));
+      const Micros expected = 100 * (window / kBurnSample);
+      CHECK(static_cast<double>(Line(window).counts.in_time) ==
+            Approx(static_cast<double>(expected)).epsilon(0.05));
     }
   }
 }
