Let elections reach replicas that lag behind a membership change

Random runs stopped without a leader in three ways. A voter whose uncommitted removal made its log the longest never campaigned; it now does while it is a voter in a membership not older than the commit index. A voter that did not know the candidate yet had no address for its reply; vote requests now carry it. A learner that had just died was promoted beside a dead voter; a promotion now needs a quorum of the new voters among those that answer already.

--- a/replication/change.cc
+++ b/replication/change.cc
@@ -32,7 +32,7 @@
   return {.active =
               [this, peer](const ReplicaId& id) {
                 const Progress* p = peer(id);
-                return IsSelf(id) || (p != nullptr && now - p->acked_sent < options.election_max);
+                return IsSelf(id) || (p != nullptr && now - p->acked_sent <= 2 * options.heartbeat);
               },
           .silent =
               [this, peer](const ReplicaId& id) {
--- a/replication/election.cc
+++ b/replication/election.cc
@@ -17,7 +17,8 @@
     out->leadership_changed = true;
   }
   ResetElectionTimer();
-  if (IsVoter(log.membership(), options.id) && options.self.has_disk) StartPreVote();
+  // A voter whose removal is not committed yet may be the only one with the longest log.
+  if (options.self.has_disk && log.IsVoterSince(commit, options.id)) StartPreVote();
 }
 
 void Replica::Impl::StartPreVote() {
@@ -41,13 +42,14 @@
   VoteRequest full = request;
   full.last_index = log.last_index();
   full.last_term = log.last_term();
+  full.address = options.self.address;
   for (const auto& [id, member] : log.membership()) {
     if (IsSelf(id) || member.role != Role::kVoter) continue;
     // A vote request claims the log up to its end, so that log has to survive a restart.
     if (request.pre_vote) {
-      Send(id, full);
+      Send(id, member.address, full);
     } else {
-      SendOnceDurable(id, full);
+      SendOnceDurable(id, member.address, full);
     }
   }
 }
@@ -68,7 +70,7 @@
   const bool refuses = HeardFromLeaderLately();
   if (request.pre_vote) {
     const bool granted = !refuses && request.term > term && LogIsUpToDate(request);
-    return Send(from, VoteReply{granted ? request.term : term, true, granted});
+    return Send(from, request.address, VoteReply{granted ? request.term : term, true, granted});
   }
   if (refuses) return;
   if (request.term > term) BecomeFollower(request.term, std::nullopt);
@@ -79,7 +81,7 @@
     disk.NoteHardState();
   }
   if (granted) ResetElectionTimer();
-  SendOnceDurable(from, VoteReply{term, false, granted});
+  SendOnceDurable(from, request.address, VoteReply{term, false, granted});
 }
 
 void Replica::Impl::OnVoteReply(const ReplicaId& from, const VoteReply& reply) {
--- a/replication/file_io.cc
+++ b/replication/file_io.cc
@@ -169,9 +169,9 @@
   }
   const std::size_t boundary = offset + SectorPart(bytes, offset).size();
   const bool header_crosses = boundary < offset + kFrameHeaderBytes;
-  const bool unwritten = IsZero(SectorPart(bytes, offset)) ||
-                         (header_crosses && boundary < bytes.size() &&
-                          IsZero(SectorPart(bytes, boundary)));
+  const bool unwritten =
+      IsZero(SectorPart(bytes, offset)) ||
+      (header_crosses && boundary < bytes.size() && IsZero(SectorPart(bytes, boundary)));
   if (offset + kFrameHeaderBytes <= bytes.size() && !unwritten) return false;
   for (std::size_t later = offset + 1; later < bytes.size(); ++later) {
     if (FrameAt(bytes, later)) return false;
--- a/replication/follower.cc
+++ b/replication/follower.cc
@@ -8,7 +8,7 @@
 
 bool Replica::Impl::AcceptLeader(const ReplicaId& from, Term message_term, Micros sent) {
   if (message_term < term) {
-    Send(from, AppendReply{.term = term, .sent = sent});
+    Send(from, LeaderAddress(from), AppendReply{.term = term, .sent = sent});
     return false;
   }
   if (message_term == term && state == State::kLeader) {
@@ -27,11 +27,12 @@
   for (std::size_t i = 0; i < request.entries.size(); ++i) {
     if (request.entries[i].index != request.previous_index + 1 + i) return;  // malformed
   }
-  if (!AcceptLeader(from, request.term, request.sent)) return;
   if (!request.address.empty()) leader_address = request.address;
+  if (!AcceptLeader(from, request.term, request.sent)) return;
   Index hint = 0;
   if (!Matches(request, hint)) {
-    return Send(from, AppendReply{.term = term, .match = hint, .sent = request.sent});
+    return Send(from, LeaderAddress(from),
+                AppendReply{.term = term, .match = hint, .sent = request.sent});
   }
   StoreEntries(request);
   verified_match = std::max(verified_match, request.previous_index + request.entries.size());
@@ -71,7 +72,7 @@
   if (!leader) return;
   due_reply.reported = std::min(verified_match, disk.durable());
   due_reply.unsent = false;
-  Send(*leader,
+  Send(*leader, LeaderAddress(*leader),
        AppendReply{
            .term = term, .success = true, .match = due_reply.reported, .sent = due_reply.sent});
 }
--- a/replication/leader.cc
+++ b/replication/leader.cc
@@ -17,9 +17,10 @@
 
 void Replica::Impl::Heartbeat(const ReplicaId& id, Progress& peer) {
   if (peer.mode == FeedMode::kSnapshot) {
-    Send(id, AppendRequest{.term = term,
-                           .sent = now,
-                           .address = peer.match == 0 ? options.self.address : std::string()});
+    Send(id, peer.address,
+         AppendRequest{.term = term,
+                       .sent = now,
+                       .address = peer.match == 0 ? options.self.address : std::string()});
     // Resends from the last acknowledged chunk once nothing moved for a heartbeat.
     const bool stuck = now - peer.snapshot_progress >= options.heartbeat;
     if (stuck && now - peer.last_heard < options.election_max) {
@@ -49,7 +50,7 @@
     peer.in_flight.push_back(peer.next - 1);
   }
   peer.commit_sent = commit;
-  Send(id, std::move(request));
+  Send(id, peer.address, std::move(request));
 }
 
 void Replica::Impl::Feed(const ReplicaId& id, Progress& peer) {
--- a/replication/log.cc
+++ b/replication/log.cc
@@ -4,6 +4,8 @@
 #include <stdexcept>
 #include <string>
 
+#include "replication/membership.h"
+
 namespace godwitpaddle::replication {
 
 void Log::Reset(Index base, Term base_term, Membership membership) {
@@ -72,4 +74,12 @@
   return it->second;
 }
 
+bool Log::IsVoterSince(Index index, const ReplicaId& id) const {
+  for (auto it = memberships_.rbegin(); it != memberships_.rend(); ++it) {
+    if (IsVoter(it->second, id)) return true;
+    if (it->first <= index) break;
+  }
+  return false;
+}
+
 }  // namespace godwitpaddle::replication
--- a/replication/log.h
+++ b/replication/log.h
@@ -40,6 +40,8 @@
   /// Index of the entry that carries the membership in force, or at most the base.
   Index membership_index() const { return memberships_.back().first; }
   const Membership& MembershipAt(Index index) const;
+  /// Whether `id` is a voter in the membership at `index` or in a later one.
+  bool IsVoterSince(Index index, const ReplicaId& id) const;
 
  private:
   Index base_ = 0;
--- a/replication/membership.cc
+++ b/replication/membership.cc
@@ -6,6 +6,16 @@
 #include <utility>
 
 namespace godwitpaddle::replication {
+namespace {
+
+std::size_t CountActiveVoters(const Membership& members, const MemberSigns& signs) {
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const auto& entry) {
+        return entry.second.role == Role::kVoter && signs.active(entry.first);
+      }));
+}
+
+}  // namespace
 
 std::size_t CountVoters(const Membership& members) {
   return static_cast<std::size_t>(
@@ -21,11 +31,7 @@
 }
 
 bool HasActiveQuorum(const Membership& members, const MemberSigns& signs) {
-  std::size_t active = 0;
-  for (const auto& [id, member] : members) {
-    if (member.role == Role::kVoter && signs.active(id)) ++active;
-  }
-  return active >= Quorum(members);
+  return CountActiveVoters(members, signs) >= Quorum(members);
 }
 
 std::optional<ReplicaId> ChoosePromotion(const Membership& members, const MemberSigns& signs) {
@@ -50,10 +56,12 @@
                                          const MemberSigns& signs) {
   if (CountVoters(members) < voter_target) {
     const auto id = ChoosePromotion(members, signs);
-    if (!id) return std::nullopt;
-    Membership next = members;
-    next[*id].role = Role::kVoter;
-    return next;
+    if (id) {
+      Membership next = members;
+      next[*id].role = Role::kVoter;
+      const bool survives_its_loss = CountActiveVoters(members, signs) >= Quorum(next);
+      if (survives_its_loss || CountVoters(members) == 1) return next;
+    }
   }
   for (const auto& [id, member] : members) {
     if (member.role != Role::kVoter || !signs.silent(id)) continue;
--- a/replication/membership.h
+++ b/replication/membership.h
@@ -33,7 +33,8 @@
 /// A silent voter is removed before its replacement is promoted. Of three voters with one dead, the
 /// other two are needed before, during and after the removal, and from the promotion on any two of
 /// three suffice. Promoting first makes four voters of which three are needed, so the loss of the
-/// replacement itself would stop the group.
+/// replacement itself would stop the group. For the same reason a learner is promoted only if the
+/// group goes on when that learner is lost at once; the second voter is the exception.
 std::optional<Membership> NextMembership(const Membership& members, std::size_t voter_target,
                                          const MemberSigns& signs);
 
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -55,7 +55,8 @@
   bool pre_vote = false;
   Index last_index = 0;
   Term last_term = 0;
-  MSGPACK_DEFINE(term, pre_vote, last_index, last_term)
+  std::string address;  // of the candidate, which the voter may not know as a member yet
+  MSGPACK_DEFINE(term, pre_vote, last_index, last_term, address)
 };
 
 struct VoteReply {
--- a/replication/replica.cc
+++ b/replication/replica.cc
@@ -89,22 +89,19 @@
   if (leader != old_leader) out->leadership_changed = true;
 }
 
-std::string Replica::Impl::AddressOf(const ReplicaId& to) const {
-  const auto member = log.membership().find(to);
-  if (member != log.membership().end()) return member->second.address;
-  const auto peer = progress.find(to);
-  if (peer != progress.end()) return peer->second.address;
-  return to == leader ? leader_address : std::string();
+std::string Replica::Impl::LeaderAddress(const ReplicaId& from) const {
+  const auto member = log.membership().find(from);
+  return member == log.membership().end() ? leader_address : member->second.address;
 }
 
-void Replica::Impl::Send(const ReplicaId& to, Message message) {
-  out->send.push_back({to, AddressOf(to), std::move(message)});
+void Replica::Impl::Send(const ReplicaId& to, std::string address, Message message) {
+  out->send.push_back({to, std::move(address), std::move(message)});
 }
 
-void Replica::Impl::SendOnceDurable(const ReplicaId& to, Message message) {
+void Replica::Impl::SendOnceDurable(const ReplicaId& to, std::string address, Message message) {
   const std::uint64_t token = disk.CoveringToken(log.last_index());
-  if (token == 0) return Send(to, std::move(message));
-  held.emplace_back(token, Envelope{to, AddressOf(to), std::move(message)});
+  if (token == 0) return Send(to, std::move(address), std::move(message));
+  held.emplace_back(token, Envelope{to, std::move(address), std::move(message)});
 }
 
 void Replica::Impl::AdvanceCommit(Index index) {
--- a/replication/replica_impl.h
+++ b/replication/replica_impl.h
@@ -54,11 +54,11 @@
   void Dispatch(const ReplicaId& from, const Message& message);
   void Synced(std::uint64_t token);
   void BecomeFollower(Term new_term, std::optional<ReplicaId> new_leader);
-  void Send(const ReplicaId& to, Message message);
-  void SendOnceDurable(const ReplicaId& to, Message message);
+  void Send(const ReplicaId& to, std::string address, Message message);
+  void SendOnceDurable(const ReplicaId& to, std::string address, Message message);
   void AdvanceCommit(Index index);
   void Append(EntryKind kind, std::string payload);
-  std::string AddressOf(const ReplicaId& to) const;
+  std::string LeaderAddress(const ReplicaId& from) const;
   bool IsSelf(const ReplicaId& id) const { return id == options.id; }
 
   // election.cc
--- a/replication/snapshot.cc
+++ b/replication/snapshot.cc
@@ -62,7 +62,7 @@
     if (chunk.offset == 0) chunk.membership = peer.snapshot->membership;
     peer.snapshot_sent += chunk.data.size();
     chunk.last = peer.snapshot_sent == bytes.size();
-    Send(id, std::move(chunk));
+    Send(id, peer.address, std::move(chunk));
     if (bytes.empty()) break;
   }
 }
@@ -98,16 +98,14 @@
 
 void Replica::Impl::OnSnapshotChunk(const ReplicaId& from, const SnapshotChunk& chunk) {
   if (!AcceptLeader(from, chunk.term, chunk.sent)) return;
-  const auto sender = chunk.membership.find(from);
-  if (sender != chunk.membership.end()) leader_address = sender->second.address;
   SnapshotReply reply{.term = term, .index = chunk.index, .sent = chunk.sent};
   if (chunk.index <= commit) {
     verified_match = std::max(verified_match, chunk.index);
     reply.installed = true;
-    return SendOnceDurable(from, reply);
+    return SendOnceDurable(from, LeaderAddress(from), reply);
   }
   if (!incoming || incoming->from != from || incoming->snapshot.index != chunk.index) {
-    if (chunk.offset != 0) return Send(from, reply);
+    if (chunk.offset != 0) return Send(from, LeaderAddress(from), reply);
     incoming = IncomingSnapshot{
         from, {.index = chunk.index, .term = chunk.snapshot_term, .membership = chunk.membership}};
   }
@@ -117,11 +115,11 @@
     if (chunk.last) {
       Install(std::exchange(incoming, std::nullopt)->snapshot);
       reply.installed = true;
-      return SendOnceDurable(from, reply);
+      return SendOnceDurable(from, LeaderAddress(from), reply);
     }
   }
   reply.received = bytes.size();
-  Send(from, reply);
+  Send(from, LeaderAddress(from), reply);
 }
 
 void Replica::Impl::Install(Snapshot received) {
