--- a/replication/leader.cc
+++ b/replication/leader.cc
@@ -106,11 +106,11 @@
 }
 
 void Replica::Impl::OnRejected(const ReplicaId& from, Progress& peer, const AppendReply& reply) {
-  // Late rejections say nothing new: the logs are known to agree up to `match`, and a probe that
-  // was sent since then has its own answer.
-  if (peer.mode == FeedMode::kSnapshot || reply.match < peer.match) return;
-  if (reply.sent < peer.probe_sent || reply.match + 1 >= peer.next) return;
-  peer.Probe(reply.match + 1);
+  // A hint below `match` skips a whole term of which the first entries agree.
+  const Index next = std::max(reply.match, peer.match) + 1;
+  // Late rejections say nothing new: a probe that was sent since then has its own answer.
+  if (peer.mode == FeedMode::kSnapshot || reply.sent < peer.probe_sent || next >= peer.next) return;
+  peer.Probe(next);
   peer.probe_sent = now;
   SendAppend(from, peer, peer.next - 1);
 }
--- a/tests/replication_cluster.cc
+++ b/tests/replication_cluster.cc
@@ -423,6 +423,7 @@
 
 void Cluster::Violation(const std::string& what) {
   Trace("VIOLATION " + what);
+  if (violations_.empty()) TraceNodes();
   if (violations_.size() < 20) violations_.push_back(std::to_string(now_) + " " + what);
 }
 
