Reply to a deposed leader without its send time

A replica that refused a message of an older term echoed the send time, and for a sender it no longer knew the reply went to the address of the present leader. Such replies now carry no send time and go only to the sender; leaders drop send times ahead of their clock, and vote replies name the candidate.

--- a/replication/election.cc
+++ b/replication/election.cc
@@ -70,7 +70,8 @@
   const bool refuses = HeardFromLeaderLately();
   if (request.pre_vote) {
     const bool granted = !refuses && request.term > term && LogIsUpToDate(request);
-    return Send(from, request.address, VoteReply{granted ? request.term : term, true, granted});
+    return Send(from, request.address,
+                VoteReply{granted ? request.term : term, true, granted, from});
   }
   if (refuses) return;
   if (request.term > term) BecomeFollower(request.term, std::nullopt);
@@ -81,11 +82,11 @@
     disk.NoteHardState();
   }
   if (granted) ResetElectionTimer();
-  SendOnceDurable(from, request.address, VoteReply{term, false, granted});
+  SendOnceDurable(from, request.address, VoteReply{term, false, granted, from});
 }
 
 void Replica::Impl::OnVoteReply(const ReplicaId& from, const VoteReply& reply) {
-  if (!IsVoter(log.membership(), from)) return;
+  if (!IsVoter(log.membership(), from) || !IsSelf(reply.candidate)) return;
   if (!reply.granted) {
     if (reply.term > term) BecomeFollower(reply.term, std::nullopt);
     return;
--- a/replication/follower.cc
+++ b/replication/follower.cc
@@ -6,9 +6,10 @@
 
 namespace godwitpaddle::replication {
 
-bool Replica::Impl::AcceptLeader(const ReplicaId& from, Term message_term, Micros sent) {
+bool Replica::Impl::AcceptLeader(const ReplicaId& from, Term message_term) {
   if (message_term < term) {
-    Send(from, LeaderAddress(from), AppendReply{.term = term, .sent = sent});
+    // It acknowledges nothing, least of all to the leader of this term.
+    Send(from, LeaderAddress(from), AppendReply{.term = term, .sent = kNever});
     return false;
   }
   if (message_term == term && state == State::kLeader) {
@@ -27,8 +28,8 @@
   for (std::size_t i = 0; i < request.entries.size(); ++i) {
     if (request.entries[i].index != request.previous_index + 1 + i) return;  // malformed
   }
+  if (!AcceptLeader(from, request.term)) return;
   if (!request.address.empty()) leader_address = request.address;
-  if (!AcceptLeader(from, request.term, request.sent)) return;
   Index hint = 0;
   if (!Matches(request, hint)) {
     return Send(from, LeaderAddress(from),
--- a/replication/leader.cc
+++ b/replication/leader.cc
@@ -76,7 +76,7 @@
     BecomeFollower(reply_term, std::nullopt);
     return nullptr;
   }
-  if (reply_term < term) return nullptr;
+  if (reply_term < term || sent > now) return nullptr;
   Progress& peer = it->second;
   peer.acked_sent = std::max(peer.acked_sent, sent);
   peer.last_heard = now;
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -63,7 +63,8 @@
   Term term = 0;
   bool pre_vote = false;
   bool granted = false;
-  MSGPACK_DEFINE(term, pre_vote, granted)
+  ReplicaId candidate;  // an address may belong to another replica by now
+  MSGPACK_DEFINE(term, pre_vote, granted, candidate)
 };
 
 /// Also the heartbeat when it carries no entries. `sent` is the leader's clock and comes back in
--- a/replication/replica.cc
+++ b/replication/replica.cc
@@ -91,7 +91,8 @@
 
 std::string Replica::Impl::LeaderAddress(const ReplicaId& from) const {
   const auto member = log.membership().find(from);
-  return member == log.membership().end() ? leader_address : member->second.address;
+  if (member != log.membership().end()) return member->second.address;
+  return from == leader ? leader_address : std::string();
 }
 
 void Replica::Impl::Send(const ReplicaId& to, std::string address, Message message) {
--- a/replication/replica_impl.h
+++ b/replication/replica_impl.h
@@ -89,7 +89,7 @@
   void RefreshProgress();
 
   // follower.cc
-  bool AcceptLeader(const ReplicaId& from, Term message_term, Micros sent);
+  bool AcceptLeader(const ReplicaId& from, Term message_term);
   void OnAppend(const ReplicaId& from, const AppendRequest& request);
   bool Matches(const AppendRequest& request, Index& hint) const;
   void StoreEntries(const AppendRequest& request);
--- a/replication/snapshot.cc
+++ b/replication/snapshot.cc
@@ -97,7 +97,7 @@
 }
 
 void Replica::Impl::OnSnapshotChunk(const ReplicaId& from, const SnapshotChunk& chunk) {
-  if (!AcceptLeader(from, chunk.term, chunk.sent)) return;
+  if (!AcceptLeader(from, chunk.term)) return;
   SnapshotReply reply{.term = term, .index = chunk.index, .sent = chunk.sent};
   if (chunk.index <= commit) {
     verified_match = std::max(verified_match, chunk.index);
