Add the pool scheduler with simple policies

Cause: the owner of a pool needs admission, order, placement, quarantine and retries behind the interface in decision/pool_scheduler.h. Refusal gains may_have_run, Placement gains task_id, SchedulerOptions gains task_prefix, shapes and urgent.

--- /dev/null
+++ b/decision/dispatch.cc
@@ -0,0 +1,158 @@
+#include <algorithm>
+#include <cmath>
+
+#include "decision/scheduler_state.h"
+
+namespace godwitpaddle {
+namespace {
+
+// Requests of a team that are tried behind a first one that fits nowhere.
+constexpr int kLookahead = 4;
+// Servers looked at for one request; beyond, it waits for the next round.
+constexpr int kMaxVisits = 64;
+constexpr auto kUrgentIndex = static_cast<std::size_t>(Priority::kUrgent);
+// Held requests that may be offered or claimed ahead of free slots: the starts expected within a
+// claim's round trip ...
+constexpr double kClaimRoundTripS = 0.1;
+// ... and this many per team, so that each team's next request is ready when its turn comes.
+constexpr int kOfferedPerTeam = 1;
+
+int TeamToServe(const SchedulerState& state, std::size_t priority,
+                const std::vector<bool>& passed_over) {
+  int best = -1;
+  double best_shortfall = 0;
+  for (int i = 0; i < static_cast<int>(state.teams.size()); ++i) {
+    const TeamLine& team = state.teams[i];
+    if (passed_over[i] || team.ready[priority].empty() || team.running >= team.cap) continue;
+    const double shortfall = Shortfall(team);
+    if (best < 0 || shortfall > best_shortfall) {
+      best = i;
+      best_shortfall = shortfall;
+    }
+  }
+  return best;
+}
+
+int ServerFor(const SchedulerState& state, const RequestState& request) {
+  const auto fits = [&state, &request](int index) {
+    const Server& server = state.servers.servers[index];
+    const TaskSize& size = request.size;
+    return (server.last.cores <= 0 || size.cores <= server.free.cores + 1e-9) &&
+           (server.last.memory_mb <= 0 || size.memory_mb <= server.free.memory_mb) &&
+           size.accelerators <= server.free.accelerators &&
+           std::find(request.tried.begin(), request.tried.end(), index) == request.tried.end();
+  };
+  return FindServer(state.servers.index, fits, kMaxVisits);
+}
+
+Placement Start(SchedulerState& state, RequestState& request, int server) {
+  Dequeue(state, request);
+  request.stage = RequestState::Stage::kRunning;
+  request.server = server;
+  request.started = state.now;
+  request.ordered = 0;
+  request.containment = 0;
+  ++request.starts;
+  request.task_id = TaskName(state.options.task_prefix, request.request.id, request.starts);
+  state.own_tasks[request.task_id] = request.request.id;
+  TeamLine& team = state.teams[request.team];
+  ++team.running;
+  team.units += request.units;
+  ++state.running;
+  if (request.request.idempotent && request.request.priority == Priority::kNormal) {
+    state.preemptible[request.team].emplace(request.started, request.request.id);
+  }
+  TakeRoom(state.servers, server, request.request.id, request.size);
+  return {.id = request.request.id,
+          .server = state.servers.servers[server].last.server,
+          .address = state.servers.servers[server].last.address,
+          .attempt = request.starts,
+          .task_id = request.task_id};
+}
+
+// Starts the first requests of the team's line that fit somewhere; false if none does.
+bool StartOneOf(SchedulerState& state, const OrderedRequests& line,
+                std::vector<Placement>& placements) {
+  int tries = kLookahead;
+  for (const OrderKey& key : line) {
+    RequestState& request = state.requests.at(key.id);
+    const int server = ServerFor(state, request);
+    if (server >= 0) {
+      placements.push_back(Start(state, request, server));
+      return true;
+    }
+    if (--tries == 0) break;
+  }
+  return false;
+}
+
+void StartPriority(SchedulerState& state, std::size_t priority, int spare_slots,
+                   std::vector<Placement>& placements) {
+  std::vector<bool> passed_over(state.teams.size(), false);
+  while (state.servers.index.free_slots > spare_slots) {
+    const int team = TeamToServe(state, priority, passed_over);
+    if (team < 0) return;
+    if (!StartOneOf(state, state.teams[team].ready[priority], placements)) {
+      passed_over[team] = true;
+    }
+  }
+}
+
+int ReservedSlots(const SchedulerState& state) {
+  return static_cast<int>(std::ceil(state.options.urgent.reserve * state.servers.ready_slots));
+}
+
+bool MayBeOffered(const TeamLine& team, std::size_t priority) {
+  return !team.held[priority].empty() && team.running + team.offered < team.cap;
+}
+
+}  // namespace
+
+std::vector<Placement> StartRequests(SchedulerState& state,
+                                     const std::function<int(const TeamId&)>& cap) {
+  std::vector<Placement> placements;
+  double capacity = state.servers.index.free_slots;
+  for (TeamLine& team : state.teams) {
+    if (team.queued > 0) team.cap = std::min(team.limit, cap(team.name));
+    capacity += team.units;
+  }
+  DivideCapacity(state.teams, capacity);
+  StartPriority(state, kUrgentIndex, 0, placements);
+  StartPriority(state, static_cast<std::size_t>(Priority::kNormal), ReservedSlots(state),
+                placements);
+  return placements;
+}
+
+std::vector<RequestId> OfferHeld(SchedulerState& state) {
+  std::vector<RequestId> offers;
+  const double rate = state.mean_run_s > 0 ? state.running / state.mean_run_s : 0;
+  const int ahead =
+      state.servers.index.free_slots + static_cast<int>(std::ceil(rate * kClaimRoundTripS));
+  for (const std::size_t priority : {kUrgentIndex, static_cast<std::size_t>(Priority::kNormal)}) {
+    std::vector<bool> passed_over(state.teams.size(), false);
+    while (true) {
+      int best = -1;
+      for (int i = 0; i < static_cast<int>(state.teams.size()); ++i) {
+        const TeamLine& team = state.teams[i];
+        if (!MayBeOffered(team, priority)) continue;
+        const bool room = state.offered < ahead || team.offered < kOfferedPerTeam;
+        if (!room) continue;
+        if (best < 0 || Shortfall(team) - team.offered >
+                            Shortfall(state.teams[best]) - state.teams[best].offered) {
+          best = i;
+        }
+      }
+      if (best < 0) break;
+      TeamLine& team = state.teams[best];
+      RequestState& request = state.requests.at(team.held[priority].begin()->id);
+      team.held[priority].erase(request.key);
+      request.stage = RequestState::Stage::kOffered;
+      ++team.offered;
+      ++state.offered;
+      offers.push_back(request.request.id);
+    }
+  }
+  return offers;
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/fair_queue.h
@@ -0,0 +1,64 @@
+#ifndef GODWITPADDLE_DECISION_FAIR_QUEUE_H_
+#define GODWITPADDLE_DECISION_FAIR_QUEUE_H_
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/time.h"
+#include "decision/pool_scheduler.h"
+
+namespace godwitpaddle {
+
+/// Place of a request within its team: the earlier of its deadline and its arrival plus
+/// kAgingBound, so that work without a near deadline is overtaken for a bounded time only.
+struct OrderKey {
+  Micros due = 0;
+  RequestId id = 0;
+  auto operator<=>(const OrderKey&) const = default;
+};
+using OrderedRequests = std::set<OrderKey>;
+inline constexpr Micros kAgingBound = 10 * kSecond;
+OrderKey MakeOrderKey(const QueuedRequest& request);
+
+/// Queues and share of one team.
+struct TeamLine {
+  TeamId name;
+  double weight = 1;
+  int limit = 0;
+  int cap = 0;       // most running here, from the last dispatch
+  int running = 0;   // requests
+  double units = 0;  // slots that the running requests stand for
+  int queued = 0;
+  std::map<std::int64_t, double> work;   // expected slot seconds queued, by second of due time
+  std::array<OrderedRequests, 2> ready;  // by priority; may be placed
+  std::array<OrderedRequests, 2> held;   // by priority; wait for TakeHeld
+  int offered = 0;                       // returned by TakeHeld and not yet started
+  double entitled = 0;                   // slots
+  double lag = 0;                        // slot seconds owed (positive) or taken in excess
+  bool Waiting() const { return queued > 0; }
+};
+
+/// Adds (or with a negative value removes) expected slot seconds of a queued request.
+void AddWork(TeamLine& team, const OrderKey& key, double slot_seconds);
+
+/// Expected slot seconds queued that are due no later than `key`, to within a second.
+double WorkAhead(const TeamLine& team, const OrderKey& key);
+
+/// Divides `capacity` slots by weight; a team gets no more than it wants and is allowed, and the
+/// rest is lent to the others.
+void DivideCapacity(std::vector<TeamLine>& teams, double capacity);
+
+/// Adds `elapsed` of deviation from the entitled slots to each waiting team's lag. The lag of a
+/// team without queued work fades, so that an unused share is not saved up.
+void AccrueLag(std::vector<TeamLine>& teams, Micros elapsed);
+
+/// Slots that the team should have more than it uses; the largest is served next.
+double Shortfall(const TeamLine& team);
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_DECISION_FAIR_QUEUE_H_
--- a/decision/pool_scheduler.h
+++ b/decision/pool_scheduler.h
@@ -92,7 +92,8 @@
   RequestId id = 0;
   RefusalReason reason = RefusalReason::kQueueFull;
   std::string message;
-  Micros retry_after = 0;  // 0: waiting does not help
+  Micros retry_after = 0;     // 0: waiting does not help
+  bool may_have_run = false;  // an earlier attempt was sent: the outcome is unknown
 };
 
 /// A decision to start a request on a server. Slot, connection, size and team count are taken at
@@ -102,6 +103,7 @@
   ServerId server;
   std::string address;
   int attempt = 1;
+  std::string task_id;  // SchedulerOptions::task_prefix, the request id and ".N" for attempt N > 1
 };
 
 /// An order about running work: make room or contain an overrun.
@@ -131,6 +133,12 @@
   kGivenUp,   // bounded attempts are used up, or a retry is not safe
 };
 
+/// How room is made for urgent requests when the pool is full.
+struct UrgentPolicy {
+  double reserve = 0;      // share of the slots that only urgent requests may take
+  bool checkpoint = true;  // ask lower work to checkpoint
+};
+
 struct SchedulerOptions {
   PoolId pool;
   PoolConfig config;
@@ -138,6 +146,9 @@
   std::map<TeamId, TeamConfig> teams;
   PolicyWeights weights;
   int max_attempts = 3;
+  std::string task_prefix;       // "<node>-<incarnation>-", makes task ids unique in the fleet
+  std::vector<VmConfig> shapes;  // configured VMs of the pool, to tell what can never fit
+  UrgentPolicy urgent;
 };
 
 /// Scheduler of one pool at its owner: admission, order, shares, limits, placement, quarantine and
--- /dev/null
+++ b/decision/recount.cc
@@ -0,0 +1,47 @@
+#include <map>
+
+#include "decision/scheduler_state.h"
+
+namespace godwitpaddle {
+namespace {
+
+std::optional<std::string> CheckServer(const Server& server) {
+  // A server may announce fewer slots than it runs tasks; only own starts must not pass them.
+  const int own = static_cast<int>(server.own.size());
+  if (own > 0 && server.free.slots < 0 && own > server.last.slots) {
+    return "slots of " + server.last.server + " passed";
+  }
+  if (own > 0 && server.free.connections < 0 && own > server.last.connections) {
+    return "connections of " + server.last.server + " passed";
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::string> Recount(const SchedulerState& state) {
+  int running = 0;
+  int queued = 0;
+  std::vector<int> by_team(state.teams.size(), 0);
+  for (const auto& [id, request] : state.requests) {
+    if (request.stage == RequestState::Stage::kRunning) {
+      ++running;
+      ++by_team[request.team];
+    } else {
+      ++queued;
+    }
+  }
+  if (running != state.running) return "count of running requests differs";
+  if (queued != state.queued) return "count of queued requests differs";
+  for (std::size_t i = 0; i < by_team.size(); ++i) {
+    if (by_team[i] != state.teams[i].running) {
+      return "count of running requests of team " + state.teams[i].name + " differs";
+    }
+  }
+  for (const Server& server : state.servers.servers) {
+    if (auto violation = CheckServer(server)) return violation;
+  }
+  return std::nullopt;
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/scheduler_state.cc
@@ -0,0 +1,79 @@
+#include "decision/scheduler_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwitpaddle {
+
+void Advance(SchedulerState& state, Micros now) {
+  if (now <= state.now) return;
+  if (state.now > 0) AccrueLag(state.teams, now - state.now);
+  state.now = now;
+  CheckServers(state.servers, now);
+  if (state.servers.ready_slots > 0 || state.no_capacity_since == 0) state.no_capacity_since = now;
+}
+
+int TeamIndex(SchedulerState& state, const TeamId& team) {
+  const auto [it, added] = state.team_ids.try_emplace(team, static_cast<int>(state.teams.size()));
+  if (added) {
+    TeamLine& line = state.teams.emplace_back();
+    line.name = team;
+    state.preemptible.emplace_back();
+    const auto config = state.options.teams.find(team);
+    if (config != state.options.teams.end()) {
+      line.weight = config->second.share;
+      line.limit = config->second.limit;
+    }
+    line.cap = line.limit;
+  }
+  return it->second;
+}
+
+int QueueIndex(SchedulerState& state, const QueueId& queue) {
+  const auto [it, added] =
+      state.queue_ids.try_emplace(queue, static_cast<int>(state.queues.size()));
+  if (added) {
+    QueueLine& line = state.queues.emplace_back();
+    line.name = queue;
+    const auto config = state.options.queues.find(queue);
+    if (config != state.options.queues.end()) line.config = config->second;
+  }
+  return it->second;
+}
+
+void Enqueue(SchedulerState& state, RequestState& request, RequestState::Stage stage) {
+  TeamLine& team = state.teams[request.team];
+  const auto priority = static_cast<std::size_t>(request.request.priority);
+  request.stage = stage;
+  auto& line = stage == RequestState::Stage::kHeld ? team.held : team.ready;
+  line[priority].insert(request.key);
+  ++team.queued;
+  ++state.queued;
+  AddWork(team, request.key, request.units * static_cast<double>(request.size.run) / kSecond);
+  state.queues[request.queue].deadlines.emplace(request.request.deadline, request.request.id);
+}
+
+void Dequeue(SchedulerState& state, RequestState& request) {
+  TeamLine& team = state.teams[request.team];
+  const auto priority = static_cast<std::size_t>(request.request.priority);
+  switch (request.stage) {
+    case RequestState::Stage::kHeld:
+      team.held[priority].erase(request.key);
+      break;
+    case RequestState::Stage::kOffered:
+      --team.offered;
+      --state.offered;
+      break;
+    case RequestState::Stage::kReady:
+      team.ready[priority].erase(request.key);
+      break;
+    case RequestState::Stage::kRunning:
+      return;
+  }
+  --team.queued;
+  --state.queued;
+  AddWork(team, request.key, -request.units * static_cast<double>(request.size.run) / kSecond);
+  state.queues[request.queue].deadlines.erase({request.request.deadline, request.request.id});
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/server_table.cc
@@ -0,0 +1,184 @@
+#include "decision/server_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitpaddle {
+namespace {
+
+// Ended tasks are remembered this long: an announcement made before the end may still list them.
+constexpr Micros kEndedMemory = 2 * kSecond;
+
+int IndexOf(ServerTable& table, const Announcement& announcement) {
+  const int next = static_cast<int>(table.servers.size());
+  const auto [it, added] = table.by_id.try_emplace(announcement.server, next);
+  if (added) {
+    table.servers.emplace_back();
+    table.position.push_back(table.by_announcement.insert(table.by_announcement.end(), next));
+    table.by_vm.emplace(announcement.vm, next);
+  }
+  return it->second;
+}
+
+void ChangeVm(ServerTable& table, int index, const VmId& from, const VmId& to) {
+  const auto [begin, end] = table.by_vm.equal_range(from);
+  for (auto it = begin; it != end; ++it) {
+    if (it->second != index) continue;
+    table.by_vm.erase(it);
+    break;
+  }
+  table.by_vm.emplace(to, index);
+}
+
+void CountTasks(Server& server, const Announcement& announcement,
+                const std::unordered_map<std::string, RequestId>& own_tasks,
+                std::vector<ObservedTask>& observed) {
+  server.foreign = 0;
+  server.foreign_cores = 0;
+  server.foreign_memory_mb = 0;
+  server.used_cores = 0;
+  server.used_memory_mb = 0;
+  for (const RunningTask& task : announcement.tasks) {
+    server.used_cores += task.cores;
+    server.used_memory_mb += task.memory_mb;
+    const auto own = own_tasks.find(task.task_id);
+    if (own != own_tasks.end() && server.own.contains(own->second)) {
+      observed.push_back({own->second, task.cores, task.memory_mb});
+    } else if (!server.ended.contains(task.task_id)) {
+      ++server.foreign;
+      server.foreign_cores += task.cores;
+      server.foreign_memory_mb += task.memory_mb;
+    }
+  }
+}
+
+}  // namespace
+
+std::string TaskName(const std::string& prefix, RequestId id, int attempt) {
+  std::string name = prefix + std::to_string(id);
+  if (attempt > 1) name += "." + std::to_string(attempt);
+  return name;
+}
+
+AnnouncementEffect RecordAnnouncement(ServerTable& table, const Announcement& announcement,
+                                      const std::unordered_map<std::string, RequestId>& own_tasks,
+                                      Micros now) {
+  AnnouncementEffect effect{.server = IndexOf(table, announcement)};
+  Server& server = table.servers[effect.server];
+  if (!server.last.vm.empty() && server.last.vm != announcement.vm) {
+    ChangeVm(table, effect.server, server.last.vm, announcement.vm);
+  }
+  if (server.last.incarnation != announcement.incarnation) {
+    server.own.clear();
+    server.ended.clear();
+    RecordRestart(server.health);
+  }
+  std::erase_if(server.ended, [now](const auto& e) { return e.second + kEndedMemory < now; });
+  server.broken.clear();
+  CountTasks(server, announcement, own_tasks, effect.observed);
+  server.last = announcement;
+  server.last.tasks.clear();
+  server.announced = now;
+  server.silent = false;
+  server.blocked = table.blocked_vms.contains(announcement.vm);
+  table.by_announcement.splice(table.by_announcement.end(), table.by_announcement,
+                               table.position[effect.server]);
+  Reindex(table, effect.server);
+  return effect;
+}
+
+void BlockVms(ServerTable& table, std::set<VmId> vms, Micros now) {
+  std::vector<VmId> changed;
+  std::set_symmetric_difference(vms.begin(), vms.end(), table.blocked_vms.begin(),
+                                table.blocked_vms.end(), std::back_inserter(changed));
+  table.blocked_vms = std::move(vms);
+  for (const VmId& vm : changed) {
+    const auto [begin, end] = table.by_vm.equal_range(vm);
+    for (auto it = begin; it != end; ++it) {
+      Server& server = table.servers[it->second];
+      server.blocked = table.blocked_vms.contains(vm);
+      server.blocked_since = now;
+      Reindex(table, it->second);
+    }
+  }
+}
+
+void CheckServers(ServerTable& table, Micros now) {
+  // The list is ordered by announcement, so that only servers that fall silent now are visited.
+  for (const int index : table.by_announcement) {
+    Server& server = table.servers[index];
+    if (server.announced + kServerSilence > now) break;
+    if (server.silent) continue;
+    server.silent = true;
+    Reindex(table, index);
+  }
+  while (!table.quarantine_ends.empty() && table.quarantine_ends.begin()->first <= now) {
+    const int index = table.quarantine_ends.begin()->second;
+    table.quarantine_ends.erase(table.quarantine_ends.begin());
+    if (ReleaseIfDue(table.servers[index].health, now)) Reindex(table, index);
+  }
+}
+
+bool Usable(const Server& server) {
+  return server.last.state == ServerState::kReady && !server.silent && !server.blocked &&
+         server.health.state != Probation::kQuarantined;
+}
+
+void TakeRoom(ServerTable& table, int server, RequestId id, const TaskSize& size) {
+  table.servers[server].own[id] = size;
+  Reindex(table, server);
+}
+
+void ReturnRoom(ServerTable& table, int server, RequestId id) {
+  if (table.servers[server].own.erase(id) > 0) Reindex(table, server);
+}
+
+bool AnyShapeHolds(const ServerTable& table, const TaskSize& size) {
+  return std::any_of(table.servers.begin(), table.servers.end(), [&size](const Server& server) {
+    return ShapeHolds(server.last.cores, server.last.memory_mb, server.last.accelerators, size);
+  });
+}
+
+bool ShapeHolds(double cores, std::int64_t memory_mb, int accelerators, const TaskSize& size) {
+  return (cores <= 0 || size.cores <= cores) && (memory_mb <= 0 || size.memory_mb <= memory_mb) &&
+         size.accelerators <= accelerators;
+}
+
+FreeRoom CountRoom(const Server& server) {
+  const int tasks = static_cast<int>(server.own.size() + server.broken.size()) + server.foreign;
+  FreeRoom room{.slots = server.last.slots - tasks,
+                .connections = server.last.connections - tasks,
+                .cores = server.last.cores - server.foreign_cores,
+                .memory_mb = server.last.memory_mb - server.foreign_memory_mb,
+                .accelerators = server.last.accelerators};
+  const auto take = [&room](const auto& tasks_by_id) {
+    for (const auto& [id, size] : tasks_by_id) {
+      room.cores -= size.cores;
+      room.memory_mb -= size.memory_mb;
+      room.accelerators -= size.accelerators;
+    }
+  };
+  take(server.own);
+  take(server.broken);
+  return room;
+}
+
+void Reindex(ServerTable& table, int index) {
+  Server& server = table.servers[index];
+  server.free = CountRoom(server);
+  const bool usable = Usable(server);
+  const int counted = usable ? std::max(0, server.last.slots - server.foreign) : 0;
+  table.ready_slots += counted - server.counted_slots;
+  server.counted_slots = counted;
+  if (!usable) {
+    RemoveEntry(table.index, index);
+    return;
+  }
+  int free = std::max(0, std::min(server.free.slots, server.free.connections));
+  // On trial: one task at a time.
+  if (server.health.state == Probation::kTrial) free = server.own.empty() ? std::min(free, 1) : 0;
+  UpdateEntry(table.index, index, server.last.zone, server.last.rack,
+              server.last.slots - server.free.slots, server.last.slots, free);
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/decision/usage_estimate.cc
@@ -0,0 +1,75 @@
+#include "decision/usage_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwitpaddle {
+namespace {
+
+constexpr int kBins = 96;
+// Total weight at which all bins are halved.
+constexpr double kHalveAt = 512;
+// Weight of the declared value, in observations.
+constexpr double kPriorWeight = 4;
+// Observations needed before a request is refused on the ground of run times.
+constexpr double kTrusted = 8;
+
+double Blend(double declared, double observed, double count) {
+  if (count <= 0) return declared;
+  if (declared <= 0) return observed;
+  const double weight = count / (count + kPriorWeight);
+  return weight * observed + (1 - weight) * declared;
+}
+
+}  // namespace
+
+LogQuantiles::LogQuantiles(double low, double high)
+    : bins_(boost::histogram::make_histogram_with(boost::histogram::dense_storage<double>(),
+                                                  Axis(kBins, low, high))),
+      low_(low),
+      high_(high) {}
+
+void LogQuantiles::Add(double value) {
+  bins_(std::clamp(value, low_, std::nextafter(high_, 0.0)));
+  count_ += 1;
+  if (count_ < kHalveAt) return;
+  bins_ *= 0.5;
+  count_ *= 0.5;
+}
+
+double LogQuantiles::Quantile(double q) const {
+  double left = q * count_;
+  const auto& axis = bins_.axis();
+  for (int i = 0; i < axis.size() && count_ > 0; ++i) {
+    const double weight = bins_.at(i);
+    if (weight >= left && weight > 0) {
+      const auto bin = axis.bin(i);
+      return bin.lower() + (bin.upper() - bin.lower()) * left / weight;
+    }
+    left -= weight;
+  }
+  return count_ > 0 ? high_ : 0;
+}
+
+TaskSize CorrectedSize(const UsageEstimate& usage, const TaskSize& declared) {
+  TaskSize size = declared;
+  size.cores = Blend(declared.cores, usage.cores.Quantile(0.9), usage.cores.count());
+  size.memory_mb = static_cast<std::int64_t>(
+      std::ceil(Blend(static_cast<double>(declared.memory_mb), usage.memory_mb.Quantile(0.9),
+                      usage.memory_mb.count())));
+  size.run = ExpectedRun(usage, declared.run);
+  return size;
+}
+
+Micros ExpectedRun(const UsageEstimate& usage, Micros declared) {
+  const double seconds = Blend(static_cast<double>(declared) / kSecond,
+                               usage.run_seconds.Quantile(0.5), usage.run_seconds.count());
+  return static_cast<Micros>(seconds * kSecond);
+}
+
+Micros ShortRun(const UsageEstimate& usage) {
+  if (usage.run_seconds.count() < kTrusted) return 0;
+  return static_cast<Micros>(usage.run_seconds.Quantile(0.1) * kSecond);
+}
+
+}  // namespace godwitpaddle
