--- /dev/null
+++ b/bench/pool_driver.h
@@ -0,0 +1,353 @@
+#ifndef GODWITPADDLE_BENCH_POOL_DRIVER_H_
+#define GODWITPADDLE_BENCH_POOL_DRIVER_H_
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "bench/deployment.h"
+#include "bench/pool_policy.h"
+#include "bench/signature.h"
+
+namespace godwitpaddle::bench {
+
+/// Figures of one or several runs.
+struct PoolFigures {
+  int asked = 0;  // requests that can run and were not cancelled
+  int in_time = 0;
+  int late = 0;
+  int refused_early = 0;  // at admission
+  int refused_late = 0;   // expired in the queue
+  int failed = 0;         // given up
+  int starts = 0;
+  int wasted = 0;  // starts that did not lead to an answer in time
+  std::vector<double> urgent_wait_s;
+  double idle_slot_s = 0;   // free slots of healthy servers while work waits
+  double total_slot_s = 0;  // while work waits
+  // Used and due slot seconds while the pool is full, by run and team.
+  std::map<std::string, std::pair<double, double>> share;
+  std::map<std::string, std::pair<double, double>> burst_share;  // by run, burst and team
+  std::map<std::string, double> burst_slots;                     // by run and burst
+};
+
+struct DriverOptions {
+  bool faults = false;
+  std::uint64_t seed = 1;
+  Micros length = 240 * kSecond;
+};
+
+inline constexpr Micros kTick = 5 * kMillisecond;
+inline constexpr Micros kClaimTime = 10 * kMillisecond;
+inline constexpr Micros kCheckpointTime = 150 * kMillisecond;
+
+/// Feeds one pool's policy a stream of requests in virtual time.
+class PoolDriver {
+ public:
+  PoolDriver(const Deployment& deployment, std::size_t turn, DriverOptions options,
+             PoolPolicy& policy, PoolFigures& figures, Signature& signature)
+      : deployment_(deployment),
+        service_(deployment.services[turn]),
+        options_(options),
+        policy_(policy),
+        figures_(figures),
+        signature_(signature),
+        rng_(options.seed * 77 + turn),
+        run_name_(deployment.name + "/" + service_.name + "/" + std::to_string(options.seed)) {
+    stream_ = MakeStream(deployment, turn, {.seed = options.seed, .length = options.length});
+    servers_.resize(service_.workers);
+    for (const TeamModel& team : deployment.teams) teams_[team.name].weight = team.share;
+  }
+
+  void Run() {
+    // Requests that came at the end get time to finish.
+    const Micros end = options_.length + 30 * kSecond;
+    for (now_ = kTick; now_ < end; now_ += kTick) {
+      if (options_.faults) CauseFaults();
+      Announce();
+      FinishDue();
+      Arrive();
+      for (const Refusal& refusal : policy_.Expire(now_)) Refused(refusal.id, false);
+      Claim();
+      for (const Placement& placement : policy_.Dispatch(CapOf, now_)) Started(placement);
+      for (const TaskOrder& order : policy_.TakeOrders(now_)) Ordered(order);
+      Measure();
+      if (const auto violation = policy_.FindViolation()) throw std::runtime_error(*violation);
+    }
+  }
+
+ private:
+  struct ServerModel {
+    int incarnation = 1;
+    Micros down_until = 0;
+    Micros failing_until = 0;
+    std::set<RequestId> tasks;
+  };
+  struct TeamCount {
+    double weight = 1;
+    int running = 0;
+    int queued = 0;
+  };
+  struct Task {
+    int server = 0;
+    Micros started = 0;
+    std::uint64_t version = 0;  // ends of an earlier start are ignored
+    double done_s = 0;          // progress kept by checkpoints
+  };
+  using End = std::tuple<Micros, RequestId, std::uint64_t, TaskEnd>;
+
+  static int CapOf(const TeamId& team) { return team == "alpha" || team == "bravo" ? 60 : 36; }
+
+  BenchRequest& Entry(RequestId id) { return stream_[id - 1]; }
+
+  void Announce() {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      if ((now_ / kTick + static_cast<Micros>(i) * 20) % (kSecond / kTick) != 0) continue;
+      if (servers_[i].down_until > now_) continue;
+      Announcement a{.server = ServerName(i),
+                     .incarnation = std::to_string(servers_[i].incarnation),
+                     .vm = "vm" + std::to_string(i),
+                     .rack = "r" + std::to_string(i / kWorkersPerRack),
+                     .zone = "z" + std::to_string(i / kWorkersPerRack % kZones),
+                     .service = service_.name,
+                     .slots = kSlots,
+                     .connections = kConnections,
+                     .cores = deployment_.worker_cores,
+                     .memory_mb = deployment_.worker_memory_mb};
+      for (const RequestId id : servers_[i].tasks) {
+        a.tasks.push_back({tasks_[id].version > 1
+                               ? std::to_string(id) + "." + std::to_string(tasks_[id].version)
+                               : std::to_string(id),
+                           Entry(id).cores, Entry(id).memory_mb});
+      }
+      policy_.Announce(a, now_);
+    }
+  }
+
+  static std::string ServerName(std::size_t index) {
+    return (index < 10 ? "s0" : "s") + std::to_string(index);
+  }
+
+  void CauseFaults() {
+    if (now_ % (7 * kSecond) == 0) {  // a server is lost for ten seconds
+      ServerModel& server = servers_[UniformBelow(rng_, servers_.size())];
+      if (server.down_until <= now_) {
+        server.down_until = now_ + 10 * kSecond;
+        ++server.incarnation;
+        const std::set<RequestId> lost = server.tasks;
+        for (const RequestId id : lost)
+          ends_.emplace(now_, id, tasks_[id].version, TaskEnd::kBroken);
+      }
+    }
+    if (now_ % (60 * kSecond) == 5 * kSecond) {  // a server fails all it starts
+      servers_[UniformBelow(rng_, servers_.size())].failing_until = now_ + 40 * kSecond;
+    }
+    if (now_ % (20 * kSecond) == 3 * kSecond) CancelWave();
+  }
+
+  void CancelWave() {
+    std::vector<RequestId> wave;
+    for (const RequestId id : open_) {
+      if (UniformBelow(rng_, 4) == 0) wave.push_back(id);
+    }
+    for (const RequestId id : wave) {
+      if (!policy_.Cancel(id)) continue;
+      --teams_[Entry(id).request.team].queued;
+      --figures_.asked;
+      open_.erase(id);
+    }
+  }
+
+  void Arrive() {
+    for (; next_ < stream_.size() && stream_[next_].request.arrived <= now_; ++next_) {
+      BenchRequest& entry = stream_[next_];
+      const bool counts = !entry.never_runs && !entry.impossible;
+      if (counts) ++figures_.asked;
+      ++teams_[entry.request.team].queued;
+      open_.insert(entry.request.id);
+      if (policy_.Admit(entry.request, now_)) Refused(entry.request.id, true);
+    }
+  }
+
+  void Refused(RequestId id, bool early) {
+    const BenchRequest& entry = Entry(id);
+    signature_.Add(id * 2 + (early ? 1 : 0));
+    --teams_[entry.request.team].queued;
+    open_.erase(id);
+    if (entry.never_runs || entry.impossible) return;
+    ++(early ? figures_.refused_early : figures_.refused_late);
+  }
+
+  void Claim() {
+    for (const RequestId id : policy_.TakeHeld(now_)) claims_.emplace_back(now_ + kClaimTime, id);
+    std::size_t done = 0;
+    while (done < claims_.size() && claims_[done].first <= now_) {
+      policy_.Unhold(claims_[done++].second, now_);
+    }
+    claims_.erase(claims_.begin(), claims_.begin() + static_cast<std::ptrdiff_t>(done));
+  }
+
+  void Started(const Placement& placement) {
+    const BenchRequest& entry = Entry(placement.id);
+    signature_.Add(placement.id);
+    signature_.Add(placement.server);
+    const int index = std::stoi(placement.server.substr(1));
+    ServerModel& server = servers_[index];
+    Task& task = tasks_[placement.id];
+    if (task.version == 0 && entry.request.priority == Priority::kUrgent) {
+      figures_.urgent_wait_s.push_back(static_cast<double>(now_ - entry.request.arrived) / kSecond);
+    }
+    task.server = index;
+    task.started = now_;
+    ++task.version;
+    server.tasks.insert(placement.id);
+    --teams_[entry.request.team].queued;
+    ++teams_[entry.request.team].running;
+    ++figures_.starts;
+    const double left = std::max(0.01, entry.run_s - task.done_s);
+    Micros end = now_ + static_cast<Micros>(left * kSecond);
+    TaskEnd how = TaskEnd::kDone;
+    if (server.down_until > now_) {
+      end = now_ + 10 * kMillisecond;
+      how = TaskEnd::kNotSent;
+    } else if (server.failing_until > now_) {
+      end = now_ + 30 * kMillisecond;
+      how = TaskEnd::kServerFailed;
+    } else if (entry.never_runs || entry.impossible) {
+      how = TaskEnd::kServerFailed;
+    }
+    ends_.emplace(end, placement.id, task.version, how);
+  }
+
+  void Ordered(const TaskOrder& order) {
+    signature_.Add(order.id * 4 + static_cast<std::uint64_t>(order.kind));
+    const Task& task = tasks_[order.id];
+    const Micros at = now_ + kCheckpointTime;
+    if (order.kind == TaskOrderKind::kCheckpoint) {
+      ends_.emplace(at, order.id, task.version, TaskEnd::kCheckpointed);
+    } else if (order.kind == TaskOrderKind::kStop) {
+      ends_.emplace(at, order.id, task.version, TaskEnd::kBroken);
+    }
+  }
+
+  void FinishDue() {
+    while (!ends_.empty() && std::get<0>(ends_.top()) <= now_) {
+      const auto [at, id, version, how] = ends_.top();
+      ends_.pop();
+      Task& task = tasks_[id];
+      ServerModel& server = servers_[task.server];
+      if (task.version != version || server.tasks.erase(id) == 0) continue;
+      if (how == TaskEnd::kCheckpointed) {
+        task.done_s += static_cast<double>(now_ - task.started) / kSecond;
+      }
+      Ended(id, how);
+    }
+  }
+
+  void Ended(RequestId id, TaskEnd how) {
+    const BenchRequest& entry = Entry(id);
+    TeamCount& team = teams_[entry.request.team];
+    --team.running;
+    const AfterEnd after = policy_.Finish(id, how, now_);
+    signature_.Add(id * 4 + static_cast<std::uint64_t>(after));
+    const bool in_time = how == TaskEnd::kDone && now_ <= entry.request.deadline;
+    if (!in_time && how != TaskEnd::kCheckpointed) ++figures_.wasted;
+    if (after == AfterEnd::kRequeued) {
+      ++team.queued;
+      return;
+    }
+    open_.erase(id);
+    if (entry.never_runs || entry.impossible) return;
+    if (how != TaskEnd::kDone) {
+      ++figures_.failed;
+    } else {
+      ++(in_time ? figures_.in_time : figures_.late);
+    }
+  }
+
+  // Slots due to each team: by weight, no more than it wants and may have.
+  std::map<TeamId, double> DueSlots(double capacity) const {
+    std::map<TeamId, double> due;
+    std::set<TeamId> open;
+    for (const auto& [name, team] : teams_) {
+      if (team.running + team.queued > 0) open.insert(name);
+    }
+    bool changed = true;
+    while (changed && !open.empty()) {
+      changed = false;
+      double weights = 0;
+      for (const TeamId& name : open) weights += teams_.at(name).weight;
+      const double per_weight = capacity / weights;
+      for (const TeamId& name : std::set<TeamId>(open)) {
+        const TeamCount& team = teams_.at(name);
+        const double wanted = std::min(team.running + team.queued, CapOf(name));
+        due[name] = per_weight * team.weight;
+        if (wanted > due[name]) continue;
+        due[name] = wanted;
+        capacity -= wanted;
+        open.erase(name);
+        changed = true;
+        break;
+      }
+    }
+    return due;
+  }
+
+  void Measure() {
+    double capacity = 0;
+    double used = 0;
+    for (const ServerModel& server : servers_) {
+      if (server.down_until > now_ || server.failing_until > now_) continue;
+      capacity += kSlots;
+      used += static_cast<double>(server.tasks.size());
+    }
+    double running = 0;
+    bool waiting = false;
+    for (const auto& [name, team] : teams_) {
+      running += team.running;
+      waiting = waiting || (team.queued > 0 && team.running < CapOf(name));
+    }
+    if (!waiting) return;
+    const double seconds = static_cast<double>(kTick) / kSecond;
+    figures_.idle_slot_s += (capacity - used) * seconds;
+    figures_.total_slot_s += capacity * seconds;
+    // The pool counts as full when nine slots in ten are taken.
+    if (running < 0.9 * capacity) return;
+    const std::string burst = run_name_ + "/" + std::to_string(now_ / (40 * kSecond));
+    for (const auto& [name, due] : DueSlots(running)) {
+      auto& total = figures_.share[run_name_ + "/" + name];
+      total.first += teams_.at(name).running * seconds;
+      total.second += due * seconds;
+      auto& local = figures_.burst_share[burst + "/" + name];
+      local.first += teams_.at(name).running * seconds;
+      local.second += due * seconds;
+    }
+    figures_.burst_slots[burst] += running * seconds;
+  }
+
+  const Deployment& deployment_;
+  const ServiceModel& service_;
+  DriverOptions options_;
+  PoolPolicy& policy_;
+  PoolFigures& figures_;
+  Signature& signature_;
+  Rng rng_;
+  std::string run_name_;
+  std::vector<BenchRequest> stream_;
+  std::size_t next_ = 0;
+  std::vector<ServerModel> servers_;
+  std::map<TeamId, TeamCount> teams_;
+  std::map<RequestId, Task> tasks_;
+  std::set<RequestId> open_;
+  std::vector<std::pair<Micros, RequestId>> claims_;
+  std::priority_queue<End, std::vector<End>, std::greater<>> ends_;
+  Micros now_ = 0;
+};
+
+}  // namespace godwitpaddle::bench
+
+#endif  // GODWITPADDLE_BENCH_POOL_DRIVER_H_
--- /dev/null
+++ b/bench/pool_policy.h
@@ -0,0 +1,182 @@
+#ifndef GODWITPADDLE_BENCH_POOL_POLICY_H_
+#define GODWITPADDLE_BENCH_POOL_POLICY_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "decision/pool_scheduler.h"
+
+namespace godwitpaddle::bench {
+
+/// What the driver needs of a scheduler; PoolScheduler and the baselines offer it.
+class PoolPolicy {
+ public:
+  using Cap = std::function<int(const TeamId&)>;
+  virtual ~PoolPolicy() = default;
+  virtual void Announce(const Announcement& announcement, Micros now) = 0;
+  virtual std::optional<Refusal> Admit(const QueuedRequest& request, Micros now) = 0;
+  virtual std::vector<RequestId> TakeHeld(Micros) { return {}; }
+  virtual void Unhold(RequestId, Micros) {}
+  virtual std::vector<Placement> Dispatch(const Cap& cap, Micros now) = 0;
+  virtual std::vector<Refusal> Expire(Micros now) = 0;
+  virtual std::vector<TaskOrder> TakeOrders(Micros) { return {}; }
+  virtual AfterEnd Finish(RequestId id, TaskEnd end, Micros now) = 0;
+  virtual bool Cancel(RequestId id) = 0;
+  virtual std::optional<std::string> FindViolation() const { return std::nullopt; }
+};
+
+class SchedulerPolicy : public PoolPolicy {
+ public:
+  explicit SchedulerPolicy(SchedulerOptions options) : scheduler_(std::move(options)) {}
+  void Announce(const Announcement& a, Micros now) override { scheduler_.Announce(a, now); }
+  std::optional<Refusal> Admit(const QueuedRequest& request, Micros now) override {
+    return scheduler_.Admit(request, now);
+  }
+  std::vector<RequestId> TakeHeld(Micros now) override { return scheduler_.TakeHeld(now); }
+  void Unhold(RequestId id, Micros now) override { scheduler_.Unhold(id, now); }
+  std::vector<Placement> Dispatch(const Cap& cap, Micros now) override {
+    return scheduler_.Dispatch(cap, now);
+  }
+  std::vector<Refusal> Expire(Micros now) override { return scheduler_.Expire(now); }
+  std::vector<TaskOrder> TakeOrders(Micros now) override { return scheduler_.TakeOrders(now); }
+  AfterEnd Finish(RequestId id, TaskEnd end, Micros now) override {
+    return scheduler_.Finish(id, end, now);
+  }
+  bool Cancel(RequestId id) override { return scheduler_.Cancel(id); }
+  std::optional<std::string> FindViolation() const override { return scheduler_.FindViolation(); }
+
+ private:
+  PoolScheduler scheduler_;
+};
+
+/// Baseline: first come first served on the least loaded server, up to the queue's bound; declared
+/// sizes are believed, nothing is refused early, no shares, no quarantine.
+class FirstComePolicy : public PoolPolicy {
+ public:
+  explicit FirstComePolicy(SchedulerOptions options) : options_(std::move(options)) {}
+
+  void Announce(const Announcement& announcement, Micros now) override {
+    Entry& server = servers_[announcement.server];
+    if (server.last.incarnation != announcement.incarnation) server.tasks.clear();
+    server.last = announcement;
+    server.announced = now;
+  }
+
+  std::optional<Refusal> Admit(const QueuedRequest& request, Micros) override {
+    if (static_cast<int>(queue_.size()) >= options_.config.max_queue) {
+      return Refusal{.id = request.id, .reason = RefusalReason::kQueueFull};
+    }
+    requests_[request.id].request = request;
+    queue_.push_back(request.id);
+    return std::nullopt;
+  }
+
+  std::vector<Placement> Dispatch(const Cap& cap, Micros now) override {
+    std::vector<Placement> placements;
+    std::deque<RequestId> left;
+    bool full = false;
+    for (const RequestId id : queue_) {
+      Held& held = requests_[id];
+      const TeamId& team = held.request.team;
+      Entry* server = full || running_[team] >= cap(team) ? nullptr : Find(held, now, full);
+      if (server == nullptr) {
+        left.push_back(id);
+        continue;
+      }
+      server->tasks[id] = held.request.size;
+      held.server = server->last.server;
+      ++running_[team];
+      placements.push_back({.id = id, .server = held.server, .attempt = ++held.attempts});
+    }
+    queue_ = std::move(left);
+    return placements;
+  }
+
+  std::vector<Refusal> Expire(Micros now) override {
+    std::vector<Refusal> refusals;
+    std::erase_if(queue_, [&](RequestId id) {
+      if (requests_[id].request.deadline > now) return false;
+      refusals.push_back({.id = id, .reason = RefusalReason::kDeadlinePassed});
+      requests_.erase(id);
+      return true;
+    });
+    return refusals;
+  }
+
+  AfterEnd Finish(RequestId id, TaskEnd end, Micros) override {
+    Held& held = requests_.at(id);
+    --running_[held.request.team];
+    servers_[held.server].tasks.erase(id);
+    if (end == TaskEnd::kDone) {
+      requests_.erase(id);
+      return AfterEnd::kFinished;
+    }
+    const bool safe = end == TaskEnd::kNotSent || held.request.idempotent;
+    if (!safe || held.attempts >= options_.max_attempts) {
+      requests_.erase(id);
+      return AfterEnd::kGivenUp;
+    }
+    queue_.push_back(id);
+    return AfterEnd::kRequeued;
+  }
+
+  bool Cancel(RequestId id) override {
+    const auto it = std::find(queue_.begin(), queue_.end(), id);
+    if (it == queue_.end()) return false;
+    queue_.erase(it);
+    requests_.erase(id);
+    return true;
+  }
+
+ private:
+  struct Entry {
+    Announcement last;
+    Micros announced = 0;
+    std::map<RequestId, TaskSize> tasks;
+  };
+  struct Held {
+    QueuedRequest request;
+    ServerId server;
+    int attempts = 0;
+  };
+
+  Entry* Find(const Held& held, Micros now, bool& full) {
+    Entry* best = nullptr;
+    full = true;
+    for (auto& [id, server] : servers_) {
+      if (now - server.announced > kServerSilence ||
+          static_cast<int>(server.tasks.size()) >= server.last.slots) {
+        continue;
+      }
+      full = false;
+      double cores = server.last.cores;
+      std::int64_t memory_mb = server.last.memory_mb;
+      for (const auto& [task, size] : server.tasks) {
+        cores -= size.cores;
+        memory_mb -= size.memory_mb;
+      }
+      if (held.request.size.cores > cores + 1e-9 || held.request.size.memory_mb > memory_mb) {
+        continue;
+      }
+      if (best == nullptr || server.tasks.size() < best->tasks.size()) best = &server;
+    }
+    return best;
+  }
+
+  SchedulerOptions options_;
+  std::map<ServerId, Entry> servers_;
+  std::map<RequestId, Held> requests_;
+  std::map<TeamId, int> running_;
+  std::deque<RequestId> queue_;
+};
+
+}  // namespace godwitpaddle::bench
+
+#endif  // GODWITPADDLE_BENCH_POOL_POLICY_H_
