--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -36,15 +36,6 @@
   return out.str();
 }
 
-int Guarantee(const SchedulerState& state, const TeamLine& team) {
-  double weights = 0;
-  for (const TeamLine& other : state.teams) {
-    if (other.limit > 0) weights += other.weight;
-  }
-  if (weights <= 0 || team.limit <= 0) return 0;
-  return static_cast<int>(std::ceil(state.options.config.max_queue / 2.0 * team.weight / weights));
-}
-
 }  // namespace
 
 bool HasQueueRoom(const QueueRoom& room) {
@@ -54,10 +45,6 @@
   return room.lent < lendable && room.lent_to_team < (lendable + 1) / 2;
 }
 
-int LentPlaces(const SchedulerState& state, const TeamLine& team) {
-  return std::max(0, team.queued - Guarantee(state, team));
-}
-
 Micros EstimatedWait(const SchedulerState& state, const TeamLine& team, const OrderKey& key) {
   const int free = state.servers.index.free_slots;
   const double work = WorkAhead(team, key);
@@ -88,11 +75,11 @@
     return Refuse(request, RefusalReason::kNoCapacity, "no server of the pool is ready",
                   kServerSilence);
   }
-  QueueRoom room{.bound = state.options.config.max_queue,
-                 .guaranteed = Guarantee(state, team),
-                 .team_queued = team.queued,
-                 .lent_to_team = LentPlaces(state, team)};
-  for (const TeamLine& other : state.teams) room.lent += LentPlaces(state, other);
+  const QueueRoom room{.bound = state.options.config.max_queue,
+                       .guaranteed = team.guaranteed,
+                       .team_queued = team.queued,
+                       .lent = state.lent_places,
+                       .lent_to_team = std::max(0, team.queued - team.guaranteed)};
   const Micros wait = EstimatedWait(state, team, request.key);
   if (!HasQueueRoom(room)) {
     return Refuse(request, RefusalReason::kQueueFull, "the team's part of the queue is full",
--- a/decision/admission.h
+++ b/decision/admission.h
@@ -27,9 +27,6 @@
 /// Refuses a request that cannot run, would wait too long or finds no room.
 std::optional<Refusal> CheckAdmission(const SchedulerState& state, const RequestState& request);
 
-/// Queue places of the team beyond its guarantee.
-int LentPlaces(const SchedulerState& state, const TeamLine& team);
-
 }  // namespace godwitpaddle
 
 #endif  // GODWITPADDLE_DECISION_ADMISSION_H_
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -33,6 +33,7 @@
   int running = 0;   // requests
   double units = 0;  // slots that the running requests stand for
   int queued = 0;
+  int guaranteed = 0;                    // queue places kept for the team
   std::map<std::int64_t, double> work;   // expected slot seconds queued, by second of due time
   std::array<OrderedRequests, 2> ready;  // by priority; may be placed
   std::array<OrderedRequests, 2> held;   // by priority; wait for TakeHeld
--- a/decision/pool_scheduler.cc
+++ b/decision/pool_scheduler.cc
@@ -72,6 +72,7 @@
   for (const auto& [name, config] : state.options.queues) {
     state.queues[QueueIndex(state, name)].config = config;
   }
+  DividePlaces(state);
 }
 
 void PoolScheduler::Announce(const Announcement& announcement, Micros now) {
--- a/decision/scheduler_state.cc
+++ b/decision/scheduler_state.cc
@@ -25,6 +25,7 @@
       line.limit = config->second.limit;
     }
     line.cap = line.limit;
+    DividePlaces(state);
   }
   return it->second;
 }
@@ -41,13 +42,26 @@
   return it->second;
 }
 
+void DividePlaces(SchedulerState& state) {
+  double weights = 0;
+  for (const TeamLine& team : state.teams) {
+    if (team.limit > 0) weights += team.weight;
+  }
+  state.lent_places = 0;
+  for (TeamLine& team : state.teams) {
+    const double part = weights > 0 && team.limit > 0 ? team.weight / weights : 0;
+    team.guaranteed = static_cast<int>(std::ceil(part * state.options.config.max_queue / 2));
+    state.lent_places += std::max(0, team.queued - team.guaranteed);
+  }
+}
+
 void Enqueue(SchedulerState& state, RequestState& request, RequestState::Stage stage) {
   TeamLine& team = state.teams[request.team];
   const auto priority = static_cast<std::size_t>(request.request.priority);
   request.stage = stage;
   auto& line = stage == RequestState::Stage::kHeld ? team.held : team.ready;
   line[priority].insert(request.key);
-  ++team.queued;
+  if (++team.queued > team.guaranteed) ++state.lent_places;
   ++state.queued;
   AddWork(team, request.key, request.units * static_cast<double>(request.size.run) / kSecond);
   state.queues[request.queue].deadlines.emplace(request.request.deadline, request.request.id);
@@ -70,7 +84,7 @@
     case RequestState::Stage::kRunning:
       return;
   }
-  --team.queued;
+  if (team.queued-- > team.guaranteed) --state.lent_places;
   --state.queued;
   AddWork(team, request.key, -request.units * static_cast<double>(request.size.run) / kSecond);
   state.queues[request.queue].deadlines.erase({request.request.deadline, request.request.id});
--- a/decision/scheduler_state.h
+++ b/decision/scheduler_state.h
@@ -72,6 +72,7 @@
   int queued = 0;
   int running = 0;
   int offered = 0;
+  int lent_places = 0;              // queue places that teams use beyond their guarantee
   std::set<RequestId> checkpoints;  // ordered to make room and not yet ended
   Micros no_capacity_since = 0;
   mutable int violation_checks = 0;
@@ -83,6 +84,9 @@
 int TeamIndex(SchedulerState& state, const TeamId& team);
 int QueueIndex(SchedulerState& state, const QueueId& queue);
 
+/// Divides the queue's places after a change of the configuration.
+void DividePlaces(SchedulerState& state);
+
 /// Puts a request into the line of its team, or takes it out, with all counters.
 void Enqueue(SchedulerState& state, RequestState& request, RequestState::Stage stage);
 void Dequeue(SchedulerState& state, RequestState& request);
