Add a randomised run of commands and planners

Four nodes with their own applied state, late and lost reports, lapses, lost VMs, failing platform operations and changes of leader, in virtual time. A new owner now counts as informed 5 s after its assignment instead of 3 s, from the worst case of its lease, one announcement and one report.

--- a/decision/apply_owners.cc
+++ b/decision/apply_owners.cc
@@ -79,7 +79,8 @@
   if (IsLive(state, current.owner)) {
     return Refuse(ResultCode::kConflict, current.owner + " owns the pool");
   }
-  state.owners[body.pool] = {.owner = body.owner, .epoch = body.epoch, .assigned = at.now};
+  state.owners[body.pool] = {
+      .owner = body.owner, .epoch = body.epoch, .assign_index = at.index, .assigned = at.now};
   return {};
 }
 
--- a/decision/apply_vms.cc
+++ b/decision/apply_vms.cc
@@ -130,7 +130,10 @@
   if (!operation.wave.empty() && settled) {
     SettleWaveVm(state, at, operation.wave, body.vm, body.succeeded);
   }
-  if (state.config.vms.count(body.vm) == 0) state.vms.erase(body.vm);
+  if (state.config.vms.count(body.vm) == 0) {
+    state.vms.erase(body.vm);
+    FollowConfigOfWaves(state, at);
+  }
   return {};
 }
 
--- a/decision/fleet_state.h
+++ b/decision/fleet_state.h
@@ -92,8 +92,9 @@
   std::uint64_t epoch = 0;
   Incarnation released_by;          // the previous owner while the pool is released
   std::uint64_t release_index = 0;  // log index of the release
-  WallMs assigned = 0;              // stamp of the assignment
-  MSGPACK_DEFINE(owner, epoch, released_by, release_index, assigned)
+  std::uint64_t assign_index = 0;   // log index of the assignment
+  WallMs assigned = 0;              // its stamp
+  MSGPACK_DEFINE(owner, epoch, released_by, release_index, assign_index, assigned)
 };
 
 /// Part of a team's limit that one incarnation may use: at most min(granted, target) running.
--- a/decision/wave_planner.cc
+++ b/decision/wave_planner.cc
@@ -18,8 +18,9 @@
 // Nothing runs on a VM that was silent for the silence bound (3 s) and the task lease (5 s); the
 // rest is margin for reports.
 constexpr Micros kDeadAfter = 10 * kSecond;
-// A new owner knows what runs on a VM only after the first announcement since its takeover.
-constexpr WallMs kTakeoverMs = 3'000;
+// A new owner knows what runs on a VM only after the first announcement since its takeover. It has
+// applied the assignment within 1.5 s or lapses, hears the VM within 2 s and reports within 1.5 s.
+constexpr WallMs kTakeoverMs = 5'000;
 // A VM boots within a few minutes; later it needs another attempt.
 constexpr WallMs kVerifyTimeoutMs = 600'000;
 
@@ -104,8 +105,10 @@
   /// Whether the pool's owner places no more work on the VM and nothing runs there.
   bool IsIdle(const VmId& id, const VmRecord& vm, const VmOperation& operation) const {
     const NodeView* owner = OwnerView(vm.pool);
-    if (owner == nullptr || owner->applied_index < operation.phase_index) return false;
-    if (wall_ - state_.owners.at(vm.pool).assigned < kTakeoverMs) return false;
+    if (owner == nullptr) return false;
+    const PoolOwner& record = state_.owners.at(vm.pool);
+    if (owner->applied_index < std::max(operation.phase_index, record.assign_index)) return false;
+    if (wall_ - record.assigned < kTakeoverMs) return false;
     const VmUse use = Use(id);
     return use.ready ? use.running == 0 : IsGone(id, kDeadAfter);
   }
--- /dev/null
+++ b/tests/planner_world.h
@@ -0,0 +1,382 @@
+#ifndef GODWITPADDLE_TESTS_PLANNER_WORLD_H_
+#define GODWITPADDLE_TESTS_PLANNER_WORLD_H_
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "decision/commands.h"
+#include "decision/planners.h"
+
+namespace godwitpaddle {
+
+/// Probabilities of the faults, each per opportunity.
+struct WorldFaults {
+  double report_lost = 0;
+  Micros report_delay = 0;     // longest
+  double command_lost = 0;     // a proposal that is never committed
+  double cut_off = 0;          // per node and step: nothing in or out for up to 12 s
+  double vm_lost = 0;          // per VM and step: down for up to 60 s
+  double operation_fails = 0;  // per platform operation
+  double leader_changes = 0;   // per step
+};
+
+/// Entry nodes with their own applied state, VMs and a platform in virtual time, driven by the
+/// planners. It checks at every step what must always hold.
+class PlannerWorld {
+ public:
+  static constexpr Micros kStep = 50 * kMillisecond;
+
+  struct Task {
+    TeamId team;
+    VmId vm;
+    Micros ends = 0;
+  };
+  struct SimNode {
+    NodeRecord record;
+    FleetState applied;
+    Micros cut_until = 0;
+    Micros lease_until = 0;
+    Micros next_report = 0;
+    bool draining = false;
+    std::map<TeamId, int> demand;  // requests that want to run here at once
+    std::vector<Task> tasks;
+    std::map<VmId, Micros> heard;                 // last announcement as the pool's owner
+    std::map<PoolId, std::uint64_t> owned_epoch;  // as it believes
+  };
+  struct SimVm {
+    Micros down_until = 0;
+    int life = 0;
+    Micros next_announcement = 0;
+  };
+  struct Operation {
+    Micros ends = 0;
+    bool fails = false;
+  };
+
+  PlannerWorld(std::uint64_t seed, const std::string& config, int nodes) : rng(seed) {
+    Propose(SubmitConfig{"c0", 0, "op", {{"10-base.json", config}}});
+    REQUIRE(Propose(DecideReview{"a0", "customer", true, {"10-base.json"}}).ok());
+    for (int i = 0; i < nodes; ++i) AddNode("n" + std::to_string(i));
+    view.leader_node = "n0";
+    for (const auto& [id, vm] : state.vms) vms[id] = {};
+  }
+
+  Incarnation AddNode(const NodeId& node) {
+    const Incarnation incarnation = node + "-" + std::to_string(++lives_);
+    SimNode& sim = this->nodes[incarnation];
+    sim.record = {.node = node};
+    sim.next_report = now;
+    return incarnation;
+  }
+
+  ApplyResult Propose(CommandBody body) {
+    const FleetState before_counters{.revision = state.revision, .in_force = state.in_force};
+    const bool starts = std::holds_alternative<StartVmOperation>(body);
+    log.push_back({wall(), std::move(body)});
+    const ApplyResult result = Apply(state, log.size(), log.back());
+    const auto violation = FindViolation(state);
+    if (violation) FAIL(*violation);
+    REQUIRE(state.in_force >= before_counters.in_force);
+    REQUIRE(state.revision >= before_counters.revision);
+    if (result.ok()) CheckBudget(starts);
+    return result;
+  }
+
+  WallMs wall() const { return 1'764'812'520'000 + now / kMillisecond; }
+
+  void Run(
+      Micros duration, const std::function<void()>& each_step = [] {}) {
+    for (const Micros end = now + duration; now < end; now += kStep) {
+      BreakThings();
+      Announce();
+      for (auto& [incarnation, node] : nodes) StepNode(incarnation, node);
+      DeliverReports();
+      PlanAndCommit();
+      CheckTeams();
+      each_step();
+    }
+  }
+
+  int Running(const TeamId& team) const {
+    int sum = 0;
+    for (const auto& [incarnation, node] : nodes) sum += RunningAt(node, team);
+    return sum;
+  }
+  static int RunningAt(const SimNode& node, const TeamId& team) {
+    return static_cast<int>(std::count_if(node.tasks.begin(), node.tasks.end(),
+                                          [&](const Task& task) { return task.team == team; }));
+  }
+  int RunningOn(const VmId& vm) const {
+    int sum = 0;
+    for (const auto& [incarnation, node] : nodes) {
+      for (const Task& task : node.tasks) sum += task.vm == vm ? 1 : 0;
+    }
+    return sum;
+  }
+  bool IsUp(const VmId& vm) const { return vms.at(vm).down_until <= now; }
+  void NewLeader(const NodeId& node) {
+    view = {.leader_since = now, .leader_node = node};
+    memory = {};
+    in_flight_.clear();
+  }
+
+  Rng rng;
+  WorldFaults faults;
+  FleetState state;
+  std::vector<Command> log;
+  FleetView view;
+  MoveMemory memory;
+  Micros now = 100 * kSecond;
+  std::map<Incarnation, SimNode> nodes;
+  std::map<VmId, SimVm> vms;
+  std::map<std::string, Operation> operations;  // of the platform
+  std::map<PoolId, PoolUse> pool_use;           // what owners report
+  std::size_t commands = 0;                     // that the planners issued
+  std::size_t allotment_commands = 0;
+  std::size_t moves = 0;
+
+ private:
+  struct Report {
+    Micros arrives = 0;
+    Micros sent = 0;
+    Incarnation from;
+    std::uint64_t applied_index = 0;
+    NodeReport report;
+  };
+
+  bool Happens(double probability) { return probability > 0 && UniformUnit(rng) < probability; }
+  Micros Within(Micros longest) {
+    return longest <= 0 ? 0 : static_cast<Micros>(UniformBelow(rng, longest));
+  }
+
+  void BreakThings() {
+    for (auto& [incarnation, node] : nodes) {
+      if (Happens(faults.cut_off)) node.cut_until = now + Within(12 * kSecond);
+    }
+    for (auto& [id, vm] : vms) {
+      if (!Happens(faults.vm_lost)) continue;
+      StopVm(id, now + Within(60 * kSecond));
+    }
+    if (Happens(faults.leader_changes)) NewLeader("n" + std::to_string(UniformBelow(rng, 4)));
+  }
+
+  void StopVm(const VmId& id, Micros until) {
+    vms[id].down_until = until;
+    ++vms[id].life;
+    for (auto& [incarnation, node] : nodes) {
+      std::erase_if(node.tasks, [&](const Task& task) { return task.vm == id; });
+    }
+  }
+
+  static bool Owns(const Incarnation& incarnation, const SimNode& node, const PoolId& pool) {
+    const auto it = node.applied.owners.find(pool);
+    return it != node.applied.owners.end() && it->second.owner == incarnation;
+  }
+
+  void Announce() {
+    for (auto& [id, vm] : vms) {
+      if (!IsUp(id) || now < vm.next_announcement) continue;
+      vm.next_announcement = now + kSecond;
+      for (auto& [incarnation, node] : nodes) {
+        if (node.cut_until > now) continue;
+        const auto record = node.applied.vms.find(id);
+        if (record == node.applied.vms.end()) continue;
+        if (Owns(incarnation, node, record->second.pool)) node.heard[id] = now;
+      }
+    }
+  }
+
+  void StepNode(const Incarnation& incarnation, SimNode& node) {
+    std::erase_if(node.tasks, [&](const Task& task) { return task.ends <= now; });
+    // Backend servers stop the tasks of an owner that renews no leases.
+    if (now > node.lease_until + kTaskLease) node.tasks.clear();
+    if (node.cut_until > now) return;
+    // Applies the log with a lag.
+    while (node.applied.applied_index < log.size() && !Happens(0.2)) {
+      const std::uint64_t index = node.applied.applied_index + 1;
+      Apply(node.applied, index, log[index - 1]);
+    }
+    for (const auto& [pool, owner] : node.applied.owners) {
+      if (owner.owner != incarnation || node.owned_epoch[pool] == owner.epoch) continue;
+      node.owned_epoch[pool] = owner.epoch;
+      for (const auto& [id, vm] : node.applied.vms) {
+        if (vm.pool == pool) node.heard.erase(id);
+      }
+    }
+    if (now < node.lease_until) StartTasks(incarnation, node);
+    if (now >= node.next_report) SendReport(incarnation, node);
+  }
+
+  void StartTasks(const Incarnation& incarnation, SimNode& node) {
+    for (const auto& [team, wanted] : node.demand) {
+      int running = RunningAt(node, team);
+      const auto held = node.applied.allotments.find(team);
+      if (held == node.applied.allotments.end()) continue;
+      const auto it = held->second.find(incarnation);
+      if (it == held->second.end()) continue;
+      const int most = std::min({wanted, it->second.granted, it->second.target});
+      for (const auto& [id, vm] : node.applied.vms) {
+        if (running >= most) break;
+        if (!Owns(incarnation, node, vm.pool) || vm.operation || !vm.healthy || !IsUp(id)) continue;
+        if (now - Heard(node, id) > 3 * kSecond) continue;
+        node.tasks.push_back({team, id, now + kSecond / 5 + Within(4 * kSecond)});
+        ++running;
+      }
+    }
+  }
+
+  static Micros Heard(const SimNode& node, const VmId& id) {
+    const auto it = node.heard.find(id);
+    return it == node.heard.end() ? -kMinute : it->second;
+  }
+
+  void SendReport(const Incarnation& incarnation, SimNode& node) {
+    node.next_report = now + 300 * kMillisecond;
+    if (Happens(faults.report_lost)) return;
+    Report sent{.arrives = now + Within(faults.report_delay),
+                .sent = now,
+                .from = incarnation,
+                .applied_index = node.applied.applied_index};
+    sent.report.draining = node.draining;
+    std::map<TeamId, TeamUse>& teams = sent.report.teams;
+    for (const auto& [team, wanted] : node.demand) {
+      const int running = RunningAt(node, team);
+      teams[team] = {.running = running, .wanted = std::max(running, wanted)};
+    }
+    for (const auto& [id, vm] : node.applied.vms) {
+      if (!Owns(incarnation, node, vm.pool)) continue;
+      const bool ready = now - Heard(node, id) <= 3 * kSecond;
+      sent.report.vms[id] = {.ready = ready,
+                             .running = ready ? RunningOn(id) : 0,
+                             .server_incarnation = ready ? std::to_string(vms[id].life) : ""};
+    }
+    in_flight_.push_back(std::move(sent));
+  }
+
+  void DeliverReports() {
+    std::vector<Report> later;
+    for (Report& report : in_flight_) {
+      if (report.arrives > now) {
+        later.push_back(std::move(report));
+      } else {
+        Receive(report);
+      }
+    }
+    in_flight_ = std::move(later);
+  }
+
+  void Receive(const Report& report) {
+    SimNode& node = nodes.at(report.from);
+    const auto record = state.nodes.find(report.from);
+    if (record != state.nodes.end() && record->second.lapsed) return;
+    if (record == state.nodes.end() && !Propose(NodeUp{report.from, node.record}).ok()) return;
+    NodeView& seen = view.nodes[report.from];
+    if (report.applied_index < seen.applied_index) return;
+    seen.last_granted = now;
+    seen.applied_index = report.applied_index;
+    seen.draining = report.report.draining;
+    seen.teams = report.report.teams;
+    for (const auto& [id, use] : report.report.vms) {
+      const auto vm = state.vms.find(id);
+      if (vm == state.vms.end() || state.owners[vm->second.pool].owner != report.from) continue;
+      const auto [it, added] = view.vms.try_emplace(id);
+      if (added || it->second.ready != use.ready) view.vm_changed[id] = now;
+      it->second = use;
+    }
+    view.pools = pool_use;
+    const bool answered = node.cut_until <= now && !Happens(faults.report_lost);
+    if (answered) node.lease_until = std::max(node.lease_until, report.sent + kNodeLease);
+  }
+
+  void PlanAndCommit() {
+    Plan plan;
+    PlanNodes(state, view, now, plan);
+    PlanOwners(state, view, now, plan);
+    PlanAllotments(state, view, now, plan);
+    PlanWaves(state, view, now, wall(), plan);
+    PlanMoves(state, view, now, memory, plan);
+    for (CommandBody& body : plan.commands) {
+      ++commands;
+      allotment_commands += std::holds_alternative<SetAllotments>(body) ? 1 : 0;
+      if (const auto* start = std::get_if<StartVmOperation>(&body)) {
+        moves += start->operation.kind == VmOperationKind::kMove ? 1 : 0;
+      }
+      if (!Happens(faults.command_lost)) Propose(std::move(body));
+    }
+    for (const PlatformCall& call : plan.calls) Call(call);
+    RejoinLapsed();
+  }
+
+  void Call(const PlatformCall& call) {
+    const auto [it, added] = operations.try_emplace(call.operation_id);
+    if (added) {
+      // A planned stop must cut off no request.
+      CAPTURE(call.vm, call.operation_id);
+      REQUIRE(RunningOn(call.vm) == 0);
+      it->second = {.ends = now + 10 * kSecond + Within(20 * kSecond),
+                    .fails = Happens(faults.operation_fails)};
+      StopVm(call.vm, it->second.ends);
+    } else if (now >= it->second.ends) {
+      Propose(AdvanceVmOperation{.vm = call.vm,
+                                 .operation_id = call.operation_id,
+                                 .from = VmPhase::kStopping,
+                                 .to = it->second.fails ? VmPhase::kFailed : VmPhase::kVerifying,
+                                 .error = it->second.fails ? "the platform failed" : ""});
+    }
+  }
+
+  /// A lapsed node that is reachable again takes a new incarnation; its tasks are gone with the
+  /// task lease.
+  void RejoinLapsed() {
+    std::vector<Incarnation> back;
+    for (const auto& [incarnation, node] : nodes) {
+      const auto record = state.nodes.find(incarnation);
+      const bool lapsed = record != state.nodes.end() ? record->second.lapsed
+                                                      : node.lease_until > 0 && node.tasks.empty();
+      if (lapsed && node.cut_until <= now && node.tasks.empty()) back.push_back(incarnation);
+    }
+    for (const Incarnation& incarnation : back) {
+      const SimNode old = std::move(nodes.at(incarnation));
+      nodes.erase(incarnation);
+      std::erase_if(in_flight_, [&](const Report& report) { return report.from == incarnation; });
+      nodes[AddNode(old.record.node)].demand = old.demand;
+    }
+  }
+
+  void CheckTeams() {
+    for (const auto& [team, config] : state.config.teams) {
+      const auto over = state.over_limit.find(team);
+      const int bound = over == state.over_limit.end() ? config.limit : over->second;
+      CAPTURE(team, now);
+      REQUIRE(GrantedSum(state, team) <= bound);
+      REQUIRE(Running(team) <= std::max(bound, past_bound_[team]));
+      // Tasks that run when the limit falls may finish.
+      past_bound_[team] = Running(team) > bound ? Running(team) : 0;
+    }
+  }
+
+  void CheckBudget(bool starts) const {
+    if (!starts) return;
+    const auto& start = std::get<StartVmOperation>(log.back().body);
+    const VmRecord& vm = state.vms.at(start.vm);
+    if (vm.healthy) {
+      REQUIRE(AvailableVms(state, vm.pool) >= state.config.pools.at(vm.pool).min_available);
+    }
+  }
+
+  int lives_ = 0;
+  std::vector<Report> in_flight_;
+  std::map<TeamId, int> past_bound_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_TESTS_PLANNER_WORLD_H_
--- /dev/null
+++ b/tests/planners_random_test.cc
@@ -0,0 +1,98 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "base/codec.h"
+#include "tests/planner_world.h"
+
+namespace godwitpaddle {
+namespace {
+
+const char* const kConfig = R"({
+  "pools": {"quoting": {"service": "quoting", "min_available": 3, "hold_down_s": 5},
+            "dyeing": {"service": "dyeing", "min_available": 2, "hold_down_s": 5,
+                       "one_zone_at_a_time": false},
+            "notice": {"service": "notice", "min_available": 1, "spare": true, "hold_down_s": 5}},
+  "vms": {"q1": {"pool": "quoting", "zone": "a"}, "q2": {"pool": "quoting", "zone": "a"},
+          "q3": {"pool": "quoting", "zone": "b"}, "q4": {"pool": "quoting", "zone": "b"},
+          "q5": {"pool": "quoting", "zone": "c"},
+          "d1": {"pool": "dyeing", "zone": "a"}, "d2": {"pool": "dyeing", "zone": "b"},
+          "d3": {"pool": "dyeing", "zone": "c"}, "d4": {"pool": "dyeing", "zone": "c"},
+          "n1": {"pool": "notice", "zone": "a"}, "n2": {"pool": "notice", "zone": "b"},
+          "n3": {"pool": "notice", "zone": "c"}},
+  "teams": {"dyers": {"limit": 9}, "weavers": {"limit": 4}, "exporters": {"limit": 1}},
+  "waves": {"monthly": {"pools": ["quoting", "dyeing", "notice"]}}})";
+
+void ChangeDemand(PlannerWorld& world) {
+  for (auto& [incarnation, node] : world.nodes) {
+    for (const char* team : {"dyers", "weavers", "exporters"}) {
+      if (UniformUnit(world.rng) < 0.01) {
+        node.demand[team] = static_cast<int>(UniformBelow(world.rng, 8));
+      }
+    }
+  }
+  for (const char* pool : {"quoting", "dyeing", "notice"}) {
+    if (UniformUnit(world.rng) < 0.002) {
+      world.pool_use[pool].queued = static_cast<int>(UniformBelow(world.rng, 80));
+    }
+  }
+}
+
+void ChangeLimit(PlannerWorld& world) {
+  const std::string limit = std::to_string(2 + UniformBelow(world.rng, 10));
+  const std::string id = std::to_string(world.log.size());
+  const std::string text = R"({"teams": {"dyers": {"limit": )" + limit + "}}}";
+  world.Propose(SubmitConfig{"c" + id, world.state.revision, "op", {{"20-t.json", text}}});
+  world.Propose(DecideReview{"a" + id, "customer", true, {"20-t.json"}});
+}
+
+/// Resumes a wave that the planner paused; anything else is no reason to stand still.
+void Operate(PlannerWorld& world) {
+  const WaveRecord& wave = world.state.waves["monthly"];
+  if (wave.state != WaveState::kPaused) return;
+  REQUIRE_FALSE(wave.reason.empty());
+  world.Propose(ControlWave{"", "monthly", WaveAction::kResume});
+}
+
+// Guards against any breach of limits, budgets or graceful stops by planners that see late, lost
+// and outdated reports, and against a wave that stands still without a reason.
+TEST_CASE("random faults break no promise and every wave ends") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    PlannerWorld world(seed, kConfig, 4);
+    world.faults = {.report_lost = 0.1,
+                    .report_delay = 200 * kMillisecond,
+                    .command_lost = 0.1,
+                    .cut_off = 0.0005,
+                    .vm_lost = 0.0001,
+                    .operation_fails = 0.1,
+                    .leader_changes = 0.001};
+    world.Run(15 * kSecond, [&] { ChangeDemand(world); });
+    REQUIRE(world.Propose(ControlWave{"", "monthly", WaveAction::kStart}).ok());
+    for (int minute = 0; minute < 5; ++minute) {
+      ChangeLimit(world);
+      world.Run(kMinute, [&] { ChangeDemand(world); });
+      Operate(world);
+    }
+    // Without further faults the wave comes to its end.
+    world.faults = {};
+    const WaveRecord& wave = world.state.waves["monthly"];
+    for (int minute = 0; minute < 30 && wave.state != WaveState::kDone; ++minute) {
+      world.Run(kMinute);
+      Operate(world);
+    }
+    REQUIRE(wave.state == WaveState::kDone);
+    CHECK(wave.done.size() + wave.failed.size() == 12);
+    world.Run(kMinute);
+    // Every node that takes part rebuilds the same state from the log.
+    for (const auto& [incarnation, node] : world.nodes) {
+      FleetState replay;
+      for (std::uint64_t i = 1; i <= node.applied.applied_index; ++i) {
+        Apply(replay, i, world.log[i - 1]);
+      }
+      CHECK(Encode(replay) == Encode(node.applied));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace godwitpaddle
