--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -352,11 +352,13 @@
   return promise->get_future();
 }
 
-HttpResult Wait(std::future<HttpResult> result) {
+HttpResult Wait(std::future<HttpResult>& result) {
   REQUIRE(result.wait_for(kFailAfter) == std::future_status::ready);
   return result.get();
 }
 
+HttpResult Wait(std::future<HttpResult>&& result) { return Wait(result); }
+
 TEST_CASE("HTTP server and client carry whole requests and answers") {
   ManualServer manual({.max_body_bytes = 1'000});
   HttpClient client;
@@ -381,11 +383,11 @@
                            .status = 200,
                            .headers = {{"X-Not-Run", "true"}},
                            .body = "one"});
-    const HttpResult late = Wait(std::move(first));
+    const HttpResult late = Wait(first);
     CHECK(late.end == TransferEnd::kAnswered);
     CHECK(late.body == "one");
     CHECK(late.headers.at("x-not-run") == "true");
-    CHECK(Wait(std::move(second)).status == 404);
+    CHECK(Wait(second).status == 404);
   }
   SECTION("a body over the bound is answered 413 and never delivered") {
     for (const std::size_t bytes : {1'001U, 30'000U}) {
@@ -399,7 +401,7 @@
     const HttpEvent request = manual.requests.Next();
     CHECK(request.path == "/next");
     manual.server.Respond({.connection = request.connection});
-    CHECK(Wait(std::move(next)).status == 200);
+    CHECK(Wait(next).status == 200);
   }
   SECTION("local requests and those that cannot be taken are answered at once") {
     CHECK(Wait(Begin(client, {.url = manual.Url("/metrics")})).body == "local");
@@ -427,13 +429,13 @@
     std::thread answer([&] { manual.server.Respond({.connection = number, .body = "whole"}); });
     manual.server.Stop(60 * kSecond);
     answer.join();
-    CHECK(Wait(std::move(held)).body == "whole");
+    CHECK(Wait(held).body == "whole");
   }
   SECTION("a server that stops without the answer says that the outcome is unknown") {
     auto held = Begin(client, {.url = manual.Url("/held")});
     manual.requests.Next();
     manual.server.Stop(0);
-    CHECK(Wait(std::move(held)).status == 504);
+    CHECK(Wait(held).status == 504);
   }
 }
 
@@ -452,34 +454,34 @@
     auto result = Begin(client, {.method = "POST", .url = manual.Url("/"), .body = "x"});
     manual.server.Respond(
         {.connection = manual.requests.Next().connection, .status = kCloseWithoutAnswer});
-    CHECK(Wait(std::move(result)).end == TransferEnd::kBroken);
+    CHECK(Wait(result).end == TransferEnd::kBroken);
   }
   SECTION("a request that breaks on a reused connection is not sent a second time") {
     // libcurl repeats such a request by itself, which would run a task twice.
     for (const char* body : {"", "x"}) {
       auto first = Begin(client, {.method = "POST", .url = manual.Url("/1"), .body = "x"});
       manual.server.Respond({.connection = manual.requests.Next().connection});
-      CHECK(Wait(std::move(first)).end == TransferEnd::kAnswered);
+      CHECK(Wait(first).end == TransferEnd::kAnswered);
       auto second = Begin(client, {.method = "POST", .url = manual.Url("/2"), .body = body});
       manual.server.Respond(
           {.connection = manual.requests.Next().connection, .status = kCloseWithoutAnswer});
-      CHECK(Wait(std::move(second)).end == TransferEnd::kBroken);
+      CHECK(Wait(second).end == TransferEnd::kBroken);
       auto third = Begin(client, {.method = "POST", .url = manual.Url("/3"), .body = "x"});
       const HttpEvent next = manual.requests.Next();
       CHECK(next.path == "/3");
       manual.server.Respond({.connection = next.connection});
-      CHECK(Wait(std::move(third)).end == TransferEnd::kAnswered);
+      CHECK(Wait(third).end == TransferEnd::kAnswered);
     }
   }
   SECTION("the deadline passes: broken, and the server notices") {
     auto result = Begin(client, {.method = "POST", .url = manual.Url("/"), .timeout_ms = 50});
-    CHECK(Wait(std::move(result)).end != TransferEnd::kAnswered);
+    CHECK(Wait(result).end != TransferEnd::kAnswered);
   }
   SECTION("an answer over the bound: broken") {
     auto result = Begin(client, {.url = manual.Url("/"), .max_answer_bytes = 10});
     manual.server.Respond(
         {.connection = manual.requests.Next().connection, .body = std::string(11, 'x')});
-    const HttpResult broken = Wait(std::move(result));
+    const HttpResult broken = Wait(result);
     CHECK(broken.end == TransferEnd::kBroken);
     CHECK(broken.error == "the answer is too large");
   }
