Answer 503 from a node that knows no keys

Cause: a node that has not joined a group answered 401 to a valid key, and the command line then gave up. Ruled out: a repeat on 401, since a wrong key would then wait for the time-out. Conclusion: godwitctl tries the next daemon, on 504 as well.

--- a/ctl/client.cc
+++ b/ctl/client.cc
@@ -45,7 +45,8 @@
   Answer last;
   while (true) {
     Answer answer = Attempt(method, path, text);
-    if (answer.status != 0 && answer.status != 503) return answer;
+    // 503: cannot serve now. 504: no leader answered the daemon in time.
+    if (answer.status != 0 && answer.status != 503 && answer.status != 504) return answer;
     if (answer.status != 0) last = std::move(answer);
     current_ = (current_ + 1) % settings_.addresses.size();
     if (Clock::now() + kRetryPause >= end) break;
--- a/node/admin.cc
+++ b/node/admin.cc
@@ -248,6 +248,9 @@
     if (request.method != "POST") NotAllowed();
     return BootstrapAction{ParseBootstrap(request.body, wall)};
   }
+  if (state.keys.empty()) {
+    throw AdminError(503, "no_group", "this node has not joined a group; bootstrap forms one");
+  }
   const auto authorization = request.headers.find("authorization");
   const KeyRecord* key =
       authorization == request.headers.end() ? nullptr : FindKey(state, authorization->second);
--- a/tests/admin_test.cc
+++ b/tests/admin_test.cc
@@ -169,6 +169,9 @@
   CHECK(std::get<BootstrapAction>(Ask("", "POST", "bootstrap", both)).keys.size() == 2);
   CHECK(Status("", "POST", "bootstrap", one) == 400);
   CHECK(Status("", "GET", "bootstrap") == 405);
+  // A node that has not joined yet knows no key; 401 would tell the operator that its key is wrong.
+  state.keys.clear();
+  CHECK(Status("op", "GET", "config") == 503);
 }
 
 // Guards against an answer whose status hides a refusal.
