--- /dev/null
+++ b/bench/fleet_files.h
@@ -0,0 +1,78 @@
+#ifndef GODWITPADDLE_BENCH_FLEET_FILES_H_
+#define GODWITPADDLE_BENCH_FLEET_FILES_H_
+
+#include <map>
+#include <string>
+
+#include "decision/commands.h"
+
+namespace godwitpaddle {
+
+/// Sizes of a generated fleet.
+struct FleetSizes {
+  int vms = 2'000;
+  int pools = 163;
+  int teams = 430;
+  int zones = 18;
+  int regions = 5;
+  int vms_per_rack = 4;
+  int hold_down_s = 30;
+  double min_available = 0.75;  // part of each pool
+  int spare_pools = 1;          // the last ones
+};
+
+/// Configuration files of the fleet: VMs spread evenly over pools and availability zones, one queue
+/// and one wave per pool.
+inline std::map<std::string, std::string> FleetFiles(const FleetSizes& sizes) {
+  std::string pools;
+  std::string vms;
+  std::string teams;
+  const auto separator = [](int i) { return i == 0 ? "" : ",\n"; };
+  std::string queues;
+  std::string waves;
+  for (int i = 0; i < sizes.pools; ++i) {
+    const std::string name = "\"p" + std::to_string(i) + "\"";
+    const int size = sizes.vms / sizes.pools + (i < sizes.vms % sizes.pools ? 1 : 0);
+    pools += separator(i) + name + ": {\"service\": \"s\", \"min_available\": " +
+             std::to_string(static_cast<int>(size * sizes.min_available)) +
+             ", \"hold_down_s\": " + std::to_string(sizes.hold_down_s) +
+             (i >= sizes.pools - sizes.spare_pools ? ", \"spare\": true}" : "}");
+    queues += separator(i) + name + ": {\"pool\": " + name + "}";
+    waves += separator(i) + name + ": {\"pools\": [" + name + "]}";
+  }
+  for (int i = 0; i < sizes.vms; ++i) {
+    const int place = i / sizes.pools;  // within the pool
+    const int zone = (i % sizes.pools + place / sizes.vms_per_rack) % sizes.zones;
+    const std::string zone_name = "z" + std::to_string(zone);
+    vms += separator(i) + ("\"v" + std::to_string(i)) + R"(": {"pool": "p)" +
+           std::to_string(i % sizes.pools) + R"(", "region": "r)" +
+           std::to_string(zone % sizes.regions) + R"(", "zone": ")" + zone_name +
+           R"(", "rack": ")" + zone_name + "-" + std::to_string(i % sizes.pools) +
+           R"(", "cores": 8, "memory_mb": 16384})";
+  }
+  for (int i = 0; i < sizes.teams; ++i) {
+    teams += separator(i) + ("\"t" + std::to_string(i)) + R"(": {"share": 1, "limit": 60})";
+  }
+  return {{"10-pools.json", "{\"pools\": {" + pools + "}, \"queues\": {" + queues +
+                                "}, \"waves\": {" + waves + "}}"},
+          {"20-vms.json", "{\"vms\": {" + vms + "}}"},
+          {"30-teams.json", "{\"teams\": {" + teams + "}}"}};
+}
+
+/// A state with the files in force.
+inline FleetState StateWith(const std::map<std::string, std::string>& files) {
+  FleetState state;
+  SubmitConfig submit{.change_id = "c", .author = "op"};
+  DecideReview approve{.change_id = "a", .author = "customer", .approve = true};
+  for (const auto& [name, text] : files) {
+    submit.files[name] = text;
+    approve.files.push_back(name);
+  }
+  Apply(state, 1, {.wall = 1, .body = submit});
+  Apply(state, 2, {.wall = 1, .body = approve});
+  return state;
+}
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_BENCH_FLEET_FILES_H_
--- a/decision/apply_vms.cc
+++ b/decision/apply_vms.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "decision/apply_detail.h"
+#include "decision/vm_budget.h"
 
 namespace godwitpaddle::detail {
 namespace {
@@ -47,7 +48,13 @@
       return Refuse(ResultCode::kConflict, "the VM is not due in a running wave");
     }
   }
-  if (auto reason = WhyNotStart(state, body.vm)) return Refuse(ResultCode::kConflict, *reason);
+  PoolTally tally;
+  for (const auto& [id, other] : state.vms) {
+    if (other.pool == vm->second.pool) AddToTally(other, tally);
+  }
+  if (auto reason = WhyNotStart(state, tally, vm->second)) {
+    return Refuse(ResultCode::kConflict, *reason);
+  }
   return std::nullopt;
 }
 
--- a/decision/fleet_state.cc
+++ b/decision/fleet_state.cc
@@ -61,10 +61,6 @@
   return sum;
 }
 
-bool IsInProgress(const VmOperation& operation) {
-  return operation.phase != VmPhase::kDrained && operation.phase != VmPhase::kFailed;
-}
-
 bool IsRetry(const VmOperation& operation) {
   return std::string_view(operation.id).ends_with(kRetrySuffix);
 }
@@ -86,28 +82,6 @@
   return failures;
 }
 
-std::optional<std::string> WhyNotStart(const FleetState& state, const VmId& vm) {
-  const auto it = state.vms.find(vm);
-  if (it == state.vms.end()) return "there is no VM " + vm;
-  const VmRecord& record = it->second;
-  if (record.operation) return "the VM has the operation " + record.operation->id;
-  const auto pool = state.config.pools.find(record.pool);
-  if (pool == state.config.pools.end()) return std::nullopt;
-  const int available = AvailableVms(state, record.pool);
-  if (record.healthy && available - 1 < pool->second.min_available) {
-    return "the pool has " + std::to_string(available) + " VMs available and needs " +
-           std::to_string(pool->second.min_available);
-  }
-  if (!pool->second.one_zone_at_a_time) return std::nullopt;
-  for (const auto& [id, other] : state.vms) {
-    if (other.pool != record.pool || other.zone == record.zone || !other.operation) continue;
-    // A VM that arrives by a move was not taken from this pool.
-    if (other.operation->target == other.pool || !IsInProgress(*other.operation)) continue;
-    return "work is in progress in availability zone " + other.zone;
-  }
-  return std::nullopt;
-}
-
 std::optional<std::string> FindViolation(const FleetState& state) {
   if (auto violation = AllotmentViolation(state)) return violation;
   if (auto violation = VmViolation(state)) return violation;
--- a/decision/fleet_state.h
+++ b/decision/fleet_state.h
@@ -221,18 +221,10 @@
 /// second attempt, or lost after their operation.
 std::set<VmId> WaveFailures(const FleetState& state, const WaveId& wave);
 
-/// Whether the operation takes its VM out of service for now; a VM that is drained by hand or has
-/// failed waits for an operator and is not planned work in progress.
-bool IsInProgress(const VmOperation& operation);
-
 /// Whether the operation is the second attempt after a failure.
 bool IsRetry(const VmOperation& operation);
 inline constexpr const char* kRetrySuffix = "-retry";
 
-/// Why planned work on the VM may not start now, or nothing: its own operation, the pool's budget,
-/// or work in progress in another availability zone of the pool.
-std::optional<std::string> WhyNotStart(const FleetState& state, const VmId& vm);
-
 /// Returns the first violated invariant of the state, or nothing: budgets are checked at each
 /// planned step by Apply itself; this checks sums of allotments, references and counters.
 std::optional<std::string> FindViolation(const FleetState& state);
--- a/decision/move_planner.cc
+++ b/decision/move_planner.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "decision/planners.h"
+#include "decision/vm_budget.h"
 
 namespace godwitpaddle {
 namespace {
@@ -24,11 +25,15 @@
  public:
   MovePlan(const FleetState& state, const FleetView& view, Micros now, MoveMemory& memory,
            Plan& plan)
-      : state_(state), view_(view), now_(now), memory_(memory), plan_(plan) {}
+      : state_(state),
+        view_(view),
+        now_(now),
+        memory_(memory),
+        plan_(plan),
+        tallies_(TallyPools(state)) {}
 
   void Run() {
     for (const auto& [id, vm] : state_.vms) {
-      if (vm.healthy && !vm.operation) ++available_[vm.pool];
       if (vm.operation && vm.operation->kind == VmOperationKind::kMove) {
         ++in_flight_;
         ++arriving_[vm.operation->target];
@@ -49,7 +54,7 @@
               : static_cast<double>(use->second.queued + use->second.running) / config.slots_per_vm;
       double& smoothed = memory_.smoothed_load[pool];
       smoothed += (demand - smoothed) / kSmoothingSteps;
-      if (smoothed > kShortUse * (available_[pool] + arriving_[pool])) {
+      if (smoothed > kShortUse * (tallies_[pool].available + arriving_[pool])) {
         memory_.short_since.try_emplace(pool, now_);
       } else {
         memory_.short_since.erase(pool);
@@ -77,7 +82,7 @@
   }
 
   bool IsCalm(const PoolId& pool) {
-    return memory_.smoothed_load[pool] < kCalmUse * (available_[pool] - 1);
+    return memory_.smoothed_load[pool] < kCalmUse * (tallies_[pool].available - 1);
   }
 
   bool IsSettling(const VmId& id) const {
@@ -100,7 +105,8 @@
       const auto pool = state_.config.pools.find(vm.pool);
       if (vm.pool == needy || !vm.healthy || vm.operation || !pool->second.spare) continue;
       if (IsSettling(id) && memory_.last_move.count(id) != 0) continue;
-      const double room = available_[vm.pool] - 1 - memory_.smoothed_load[vm.pool] / kShortUse;
+      const double room =
+          tallies_[vm.pool].available - 1 - memory_.smoothed_load[vm.pool] / kShortUse;
       if (room > best_room && memory_.short_since.count(vm.pool) == 0) {
         best = id;
         best_room = room;
@@ -110,10 +116,10 @@
   }
 
   void Move(const VmId& id, const VmRecord& vm, const PoolId& target) {
-    if (in_flight_ >= kMaxMovesInFlight || WhyNotStart(state_, id)) return;
-    const auto pool = state_.config.pools.find(vm.pool);
-    if (vm.healthy && available_[vm.pool] - 1 < pool->second.min_available) return;
-    if (vm.healthy) --available_[vm.pool];
+    PoolTally& tally = tallies_[vm.pool];
+    if (in_flight_ >= kMaxMovesInFlight || WhyNotStart(state_, tally, vm)) return;
+    if (vm.healthy) --tally.available;
+    ++tally.busy_zones[vm.zone];
     ++in_flight_;
     ++arriving_[target];
     memory_.last_move[id] = now_;
@@ -129,7 +135,7 @@
   const Micros now_;
   MoveMemory& memory_;
   Plan& plan_;
-  std::map<PoolId, int> available_;
+  std::map<PoolId, PoolTally> tallies_;  // with what this plan starts
   std::map<PoolId, int> arriving_;
   int in_flight_ = 0;
 };
--- a/decision/wave_planner.cc
+++ b/decision/wave_planner.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "decision/planners.h"
+#include "decision/vm_budget.h"
 
 namespace godwitpaddle {
 namespace {
@@ -27,7 +28,12 @@
 class WavePlan {
  public:
   WavePlan(const FleetState& state, const FleetView& view, Micros now, WallMs wall, Plan& plan)
-      : state_(state), view_(view), now_(now), wall_(wall), plan_(plan) {}
+      : state_(state),
+        view_(view),
+        now_(now),
+        wall_(wall),
+        plan_(plan),
+        tallies_(TallyPools(state)) {}
 
   void Run() {
     for (const auto& [id, vm] : state_.vms) {
@@ -116,6 +122,8 @@
   void StepDraining(const VmId& id, const VmRecord& vm, const VmOperation& operation) {
     const bool by_hand = operation.kind == VmOperationKind::kDrain;
     if (!by_hand && (IsHeldBack(operation) || IsBelowBudget(vm))) {
+      // Only as many go back into service as the budget lacks.
+      if (vm.healthy) ++tallies_[vm.pool].available;
       plan_.commands.emplace_back(
           FinishVmOperation{.vm = id, .operation_id = operation.id, .succeeded = false});
       return;
@@ -181,7 +189,7 @@
   bool IsBelowBudget(const VmRecord& vm) {
     const auto pool = state_.config.pools.find(vm.pool);
     return vm.healthy && pool != state_.config.pools.end() &&
-           Available(vm.pool) < pool->second.min_available;
+           tallies_[vm.pool].available < pool->second.min_available;
   }
 
   // ---- waves ----
@@ -233,34 +241,20 @@
   }
 
   bool Start(const WaveId& id, const WaveRecord& wave, const VmId& vm) {
-    if (started_.count(vm) != 0 || WhyNotStart(state_, vm)) return false;
     const VmRecord& record = state_.vms.at(vm);
-    const auto pool = state_.config.pools.find(record.pool);
-    if (pool != state_.config.pools.end()) {
-      if (record.healthy && Available(record.pool) - 1 < pool->second.min_available) return false;
-      const auto zone = zones_.find(record.pool);
-      if (pool->second.one_zone_at_a_time && zone != zones_.end() && zone->second != record.zone) {
-        return false;
-      }
-    }
+    PoolTally& tally = tallies_[record.pool];
+    if (started_.count(vm) != 0 || WhyNotStart(state_, tally, record)) return false;
     plan_.commands.emplace_back(
         StartVmOperation{.vm = vm,
                          .operation = {.id = id + "-" + std::to_string(wave.run) + "-" + vm,
                                        .kind = VmOperationKind::kReboot,
                                        .wave = id}});
     started_.insert(vm);
-    zones_[record.pool] = record.zone;
-    if (record.healthy) --Available(record.pool);
+    ++tally.busy_zones[record.zone];
+    if (record.healthy) --tally.available;
     return true;
   }
 
-  /// Available VMs of the pool, less those that this plan takes.
-  int& Available(const PoolId& pool) {
-    const auto [it, added] = available_.try_emplace(pool, 0);
-    if (added) it->second = AvailableVms(state_, pool);
-    return it->second;
-  }
-
   void LapseDueReviews() {
     const FleetOptions& fleet = state_.config.fleet;
     if (fleet.review != ReviewMode::kWindow) return;
@@ -277,8 +271,7 @@
   const Micros now_;
   const WallMs wall_;
   Plan& plan_;
-  std::map<PoolId, int> available_;
-  std::map<PoolId, std::string> zones_;  // where this plan starts work
+  std::map<PoolId, PoolTally> tallies_;  // with what this plan starts
   std::set<VmId> started_;
 };
 
