Weigh a move's expected gain against its cost

A shortage pays for a move once the VM would have been busy for 30 s times the weight of moves, with share and buffer weights on the gain side. Lent VMs return when their pool was calm for as long, or when their own pool is short.

--- a/decision/move_planner.cc
+++ b/decision/move_planner.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "decision/planners.h"
 #include "decision/vm_budget.h"
@@ -11,13 +11,17 @@
 namespace {
 
 constexpr Micros kMoveStep = kSecond;
-// Bursts last some seconds; a shortage that lasts longer than a move takes is worth one.
+// Steps of smoothing: the bursts to expect last some seconds, less than a move takes.
 constexpr double kSmoothingSteps = 10;
-constexpr Micros kShortFor = 30 * kSecond;
-// A VM that was moved stays at least this long.
-constexpr Micros kStayFor = 3 * kMinute;
+// A move and the way back take a VM out of service for about this long. A shortage pays for it once
+// the VM would have been busy that long, assuming that it lasts as long again as it has lasted.
+constexpr double kMoveCostS = 30;
+// A lent VM stays at least this long, so that a load around the threshold does not move it to and
+// fro.
+constexpr double kStayS = 180;
+// Moves in flight at once: a wrong estimate then takes few VMs out of service.
 constexpr int kMaxMovesInFlight = 2;
-// A pool is short above this part of its VMs, and calm below the other.
+// A pool is short above this part of its VMs, and calm below the other without one of them.
 constexpr double kShortUse = 0.95;
 constexpr double kCalmUse = 0.6;
 
@@ -59,6 +63,11 @@
       } else {
         memory_.short_since.erase(pool);
       }
+      if (smoothed < kCalmUse * (tallies_[pool].available - 1)) {
+        memory_.calm_since.try_emplace(pool, now_);
+      } else {
+        memory_.calm_since.erase(pool);
+      }
     }
   }
 
@@ -69,48 +78,67 @@
     return home != state_.config.pools.end() && home->second.spare;
   }
 
-  /// Moves VMs to the pool that the configuration gives them: lent ones when their pool is calm,
-  /// others at once.
+  /// Moves VMs to the pool that the configuration gives them: lent ones when their pool has been
+  /// calm or their own pool is short, others at once.
   void ReturnVms() {
     for (const auto& [id, vm] : state_.vms) {
       const auto config = state_.config.vms.find(id);
       if (config == state_.config.vms.end() || config->second.pool == vm.pool) continue;
-      const bool wait = state_.config.fleet.automatic_moves && IsLent(id, vm) &&
-                        (!IsCalm(vm.pool) || IsSettling(id));
-      if (!wait) Move(id, vm, config->second.pool);
+      const bool lent = state_.config.fleet.automatic_moves && IsLent(id, vm);
+      if (!lent || MayReturn(id, vm.pool, config->second.pool)) Move(id, vm, config->second.pool);
     }
   }
 
-  bool IsCalm(const PoolId& pool) {
-    return memory_.smoothed_load[pool] < kCalmUse * (tallies_[pool].available - 1);
+  bool MayReturn(const VmId& id, const PoolId& pool, const PoolId& home) const {
+    const auto calm = memory_.calm_since.find(pool);
+    if (calm == memory_.calm_since.end() || IsSettling(id)) return false;
+    const double calm_s = Seconds(now_ - calm->second);
+    return memory_.short_since.count(home) != 0 || calm_s >= kMoveCostS * Weights().moves;
   }
 
+  static double Seconds(Micros duration) { return static_cast<double>(duration) / kSecond; }
+  const PolicyWeights& Weights() const { return state_.config.fleet.weights; }
+
   bool IsSettling(const VmId& id) const {
     const auto moved = memory_.last_move.find(id);
+    // A new leader does not know the last moves and waits from its election.
     const Micros since = moved == memory_.last_move.end() ? view_.leader_since : moved->second;
-    return now_ - since < kStayFor;
+    return Seconds(now_ - since) < kStayS;
   }
 
   void LendVms() {
     for (const auto& [pool, since] : memory_.short_since) {
-      if (now_ - since < kShortFor || arriving_[pool] > 0) continue;
+      if (arriving_[pool] > 0 || !Pays(pool, since)) continue;
       if (const auto vm = BestDonor(pool)) Move(*vm, state_.vms.at(*vm), pool);
     }
   }
 
+  /// Whether the expected gain of one more VM exceeds the cost of moving it there and back. Less
+  /// waiting brings teams nearer to their shares and saves VMs held idle for peaks.
+  bool Pays(const PoolId& pool, Micros since) {
+    const double lacking = memory_.smoothed_load[pool] / kShortUse - tallies_[pool].available;
+    const double busy_s = std::min(lacking, 1.0) * Seconds(now_ - since);
+    const double gain = busy_s * (Weights().share + Weights().buffer) / 2;
+    return gain > kMoveCostS * Weights().moves;
+  }
+
+  /// A VM of the spare pool that has most to spare; among its VMs one that is nearly idle.
   std::optional<VmId> BestDonor(const PoolId& needy) {
     std::optional<VmId> best;
-    double best_room = 0;
+    std::pair<double, int> best_rank;  // room of the pool, less running work
     for (const auto& [id, vm] : state_.vms) {
       const auto pool = state_.config.pools.find(vm.pool);
       if (vm.pool == needy || !vm.healthy || vm.operation || !pool->second.spare) continue;
-      if (IsSettling(id) && memory_.last_move.count(id) != 0) continue;
+      if (memory_.last_move.count(id) != 0 && IsSettling(id)) continue;
       const double room =
           tallies_[vm.pool].available - 1 - memory_.smoothed_load[vm.pool] / kShortUse;
-      if (room > best_room && memory_.short_since.count(vm.pool) == 0) {
-        best = id;
-        best_room = room;
-      }
+      if (room < 0 || memory_.short_since.count(vm.pool) != 0) continue;
+      if (WhyNotStart(state_, tallies_[vm.pool], vm)) continue;
+      const auto use = view_.vms.find(id);
+      const std::pair rank{room, use == view_.vms.end() ? 0 : -use->second.running};
+      if (best && rank <= best_rank) continue;
+      best = id;
+      best_rank = rank;
     }
     return best;
   }
--- a/decision/planners.h
+++ b/decision/planners.h
@@ -108,6 +108,7 @@
 struct MoveMemory {
   std::map<PoolId, double> smoothed_load;  // demanded VMs
   std::map<PoolId, Micros> short_since;    // since when the pool is short of VMs
+  std::map<PoolId, Micros> calm_since;     // since when the pool could do without a VM
   std::map<VmId, Micros> last_move;
   Micros last_step = 0;
 };
