Add the roll-out scenario

One wave over each deployment in virtual time against a lower bound from the budgets, the zone rule and each VM's own times.

--- /dev/null
+++ b/bench/fleet_model.h
@@ -0,0 +1,228 @@
+#ifndef GODWITPADDLE_BENCH_FLEET_MODEL_H_
+#define GODWITPADDLE_BENCH_FLEET_MODEL_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "bench/fleet_files.h"
+#include "decision/commands.h"
+#include "decision/planners.h"
+
+namespace godwitpaddle {
+
+/// A fleet for policy scenarios: the name and size of each pool; VMs lie in racks of four, a rack
+/// per availability zone in turn.
+struct Deployment {
+  std::string name;
+  std::vector<std::pair<std::string, int>> pools;
+  std::string spare;  // the pool that lends
+  int zones = 4;
+  PolicyWeights weights;
+};
+
+inline Deployment FederationDeployment() {
+  return {.name = "federation",
+          .pools = {{"quoting", 12},
+                    {"dyeing-batch", 10},
+                    {"stock-ledger", 9},
+                    {"export-permit", 8},
+                    {"notice", 11}},
+          .spare = "notice",
+          .weights = {.share = 2, .rollout = 2, .buffer = 1, .moves = 1}};
+}
+
+inline Deployment QureshiDeployment() {
+  return {.name = "qureshi",
+          .pools = {{"book-linen", 10},
+                    {"plan-laundering", 8},
+                    {"track-returns", 9},
+                    {"bill-clients", 8},
+                    {"dispatch-vans", 12}},
+          .spare = "dispatch-vans",
+          .weights = {.share = 1, .rollout = 1, .buffer = 2, .moves = 2}};
+}
+
+/// The target's 163 pools and 2,000 VMs in 18 availability zones.
+inline Deployment TargetDeployment() {
+  Deployment target{.name = "target", .spare = "p162", .zones = 18};
+  for (int i = 0; i < 163; ++i) {
+    target.pools.emplace_back("p" + std::to_string(i), i < 2'000 % 163 ? 13 : 12);
+  }
+  return target;
+}
+
+/// The deployment as one configuration file; each pool may miss a quarter of its VMs, and one wave
+/// covers everything.
+inline std::string DeploymentFile(const Deployment& deployment, int max_parallel) {
+  std::string pools;
+  std::string vms;
+  std::string wave;
+  int racks = 0;
+  for (const auto& [pool, size] : deployment.pools) {
+    const char* separator = pools.empty() ? "" : ",\n";
+    pools += separator + ("\"" + pool) + R"(": {"service": ")" + pool + R"(", "min_available": )" +
+             std::to_string(size - size / 4) +
+             (pool == deployment.spare ? R"(, "spare": true})" : "}");
+    wave += (wave.empty() ? "\"" : ", \"") + pool + "\"";
+    for (int i = 0; i < size; ++i) {
+      if (i % 4 == 0) ++racks;
+      vms += (vms.empty() ? "\"" : ",\n\"") + pool + "-" + std::to_string(i) + R"(": {"pool": ")" +
+             pool + R"(", "zone": "z)" + std::to_string(racks % deployment.zones) +
+             R"(", "rack": "r)" + std::to_string(racks) + "\"}";
+    }
+  }
+  const PolicyWeights& weights = deployment.weights;
+  return R"({"fleet": {"weights": {"share": )" + std::to_string(weights.share) +
+         R"(, "rollout": )" + std::to_string(weights.rollout) + R"(, "buffer": )" +
+         std::to_string(weights.buffer) + R"(, "moves": )" + std::to_string(weights.moves) +
+         "}},\n\"pools\": {" + pools + "},\n\"vms\": {" + vms +
+         "},\n\"waves\": {\"all\": {\"pools\": [" + wave +
+         "], \"max_parallel\": " + std::to_string(max_parallel) + "}}}";
+}
+
+/// How long the parts of an operation on one VM take.
+struct VmTimes {
+  Micros drain = 0;     // until running work has finished
+  Micros platform = 0;  // reboot or move
+  Micros start = 0;     // until the backend server announces itself
+};
+
+/// VMs and a platform in virtual time under the planners; reports are exact and one step old.
+class FleetModel {
+ public:
+  struct Vm {
+    VmTimes times;
+    Micros down_until = 0;
+    int life = 0;
+  };
+  struct Faults {
+    double operation_fails = 0;
+    Micros vm_lost_every = 0;  // over the fleet, 0: never
+    Micros leader_every = 0;   // a new leader
+  };
+
+  FleetModel(const Deployment& deployment, std::uint64_t seed, int max_parallel = 0,
+             Micros step_duration = kSecond / 2)
+      : rng(seed), step(step_duration) {
+    state = StateWith({{"10-fleet.json", DeploymentFile(deployment, max_parallel)}});
+    for (int i = 0; i < 3; ++i) {
+      const std::string node = "n" + std::to_string(i);
+      Propose(NodeUp{node + "-0a", {.node = node}});
+    }
+    int next = 0;
+    for (const auto& [pool, config] : state.config.pools) {
+      Propose(AssignPool{pool, next++ % 2 == 0 ? "n1-0a" : "n2-0a", 1});
+    }
+    for (const auto& [id, vm] : state.config.vms) {
+      Propose(SetVmHealth{id, true});
+      vms[id].times = {
+          .drain = Between(1, 20), .platform = Between(50, 70), .start = Between(4, 8)};
+    }
+    view.leader_node = "n0";
+    now = 10 * kSecond;
+  }
+
+  ApplyResult Propose(CommandBody body) {
+    return Apply(state, state.applied_index + 1, {.wall = wall(), .body = std::move(body)});
+  }
+
+  /// One step; `plan_more` may add to the plan of waves before it is carried out.
+  template <typename PlanMore>
+  void Step(PlanMore plan_more) {
+    now += step;
+    BreakThings();
+    Report();
+    Plan plan;
+    PlanWaves(state, view, now, wall(), plan);
+    plan_more(plan);
+    for (CommandBody& body : plan.commands) Propose(std::move(body));
+    for (const PlatformCall& call : plan.calls) Call(call);
+  }
+
+  WallMs wall() const { return 1'764'812'520'000 + now / kMillisecond; }
+  Micros Between(int low_s, int high_s) {
+    return low_s * kSecond + static_cast<Micros>(UniformBelow(rng, (high_s - low_s) * kSecond));
+  }
+
+  Rng rng;
+  Micros step;
+  Faults faults;
+  FleetState state;
+  FleetView view;
+  Micros now = 0;
+  std::map<VmId, Vm> vms;
+
+ private:
+  struct Operation {
+    Micros ends = 0;
+    bool fails = false;
+  };
+
+  bool Due(Micros every) {
+    return every > 0 &&
+           UniformBelow(rng, static_cast<std::uint64_t>(every)) < static_cast<std::uint64_t>(step);
+  }
+
+  void BreakThings() {
+    if (Due(faults.vm_lost_every)) {
+      auto vm = vms.begin();
+      std::advance(vm, UniformBelow(rng, vms.size()));
+      Stop(vm->second, now + Between(60, 300));
+    }
+    if (Due(faults.leader_every)) {
+      view.leader_since = now;
+      view.vm_changed.clear();
+    }
+  }
+
+  static void Stop(Vm& vm, Micros until) {
+    vm.down_until = std::max(vm.down_until, until);
+    ++vm.life;
+  }
+
+  void Report() {
+    for (const auto& [incarnation, node] : state.nodes) {
+      view.nodes[incarnation] = {.last_granted = now, .applied_index = state.applied_index};
+    }
+    for (const auto& [id, vm] : vms) {
+      const auto record = state.vms.find(id);
+      if (record == state.vms.end()) continue;
+      const auto& operation = record->second.operation;
+      const bool ready = vm.down_until <= now;
+      const bool idle = operation && operation->phase == VmPhase::kDraining &&
+                        wall() - operation->phase_since >= vm.times.drain / kMillisecond;
+      const auto [use, added] = view.vms.try_emplace(id);
+      if (added || use->second.ready != ready) view.vm_changed[id] = now;
+      use->second = {.ready = ready,
+                     .running = ready && !idle ? 1 : 0,
+                     .server_incarnation = std::to_string(vm.life)};
+    }
+  }
+
+  void Call(const PlatformCall& call) {
+    const auto [it, added] = operations_.try_emplace(call.operation_id);
+    Vm& vm = vms.at(call.vm);
+    if (added) {
+      it->second.ends = now + vm.times.platform;
+      it->second.fails = faults.operation_fails > 0 && UniformUnit(rng) < faults.operation_fails;
+      Stop(vm, it->second.ends + vm.times.start);
+    } else if (now >= it->second.ends) {
+      Propose(AdvanceVmOperation{.vm = call.vm,
+                                 .operation_id = call.operation_id,
+                                 .from = VmPhase::kStopping,
+                                 .to = it->second.fails ? VmPhase::kFailed : VmPhase::kVerifying,
+                                 .error = it->second.fails ? "the platform failed" : ""});
+    }
+  }
+
+  std::map<std::string, Operation> operations_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_BENCH_FLEET_MODEL_H_
--- /dev/null
+++ b/bench/wave_scenario.h
@@ -0,0 +1,119 @@
+#ifndef GODWITPADDLE_BENCH_WAVE_SCENARIO_H_
+#define GODWITPADDLE_BENCH_WAVE_SCENARIO_H_
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <numeric>
+#include <string>
+#include <vector>
+
+#include "bench/fleet_model.h"
+#include "bench/signature.h"
+
+namespace godwitpaddle {
+
+/// Outcome of one wave over a whole deployment.
+struct WaveOutcome {
+  double rollout_s = 0;
+  double bound_s = 0;
+  std::size_t done = 0;
+  std::size_t failed = 0;
+  int pauses = 0;
+  int below_budget = 0;  // steps at which planned work held a pool below its budget
+  std::string state;
+};
+
+/// Least time in which `slots` VMs at a time can go through the cycles: the longest, the mean load,
+/// and the shortest cycles that share a slot.
+inline Micros LeastTime(std::vector<Micros> cycles, int slots) {
+  std::sort(cycles.begin(), cycles.end());
+  const auto count = static_cast<int>(cycles.size());
+  const Micros sum = std::accumulate(cycles.begin(), cycles.end(), Micros{0});
+  const int in_a_row = (count + slots - 1) / slots;
+  const Micros row = std::accumulate(cycles.begin(), cycles.begin() + in_a_row, Micros{0});
+  return std::max({cycles.back(), sum / slots, row});
+}
+
+/// Lower bound of the roll-out: pools in parallel, in each one availability zone after the other,
+/// as many VMs at a time as the budget allows.
+inline Micros RolloutBound(const FleetModel& model) {
+  std::map<PoolId, std::map<std::string, std::vector<Micros>>> cycles;
+  for (const auto& [id, vm] : model.state.vms) {
+    const VmTimes& times = model.vms.at(id).times;
+    const Micros hold = model.state.config.pools.at(vm.pool).hold_down_s * kSecond;
+    cycles[vm.pool][vm.zone].push_back(times.drain + times.platform + times.start + hold);
+  }
+  Micros longest = 0;
+  for (const auto& [pool, zones] : cycles) {
+    const int slots =
+        AvailableVms(model.state, pool) - model.state.config.pools.at(pool).min_available;
+    Micros total = 0;
+    for (const auto& [zone, list] : zones) total += LeastTime(list, slots);
+    longest = std::max(longest, total);
+  }
+  return longest;
+}
+
+inline WaveOutcome RunWave(const Deployment& deployment, std::uint64_t seed, int max_parallel,
+                           const FleetModel::Faults& faults) {
+  FleetModel model(deployment, seed, max_parallel,
+                   deployment.pools.size() > 100 ? kSecond : kSecond / 2);
+  WaveOutcome outcome{.bound_s = static_cast<double>(RolloutBound(model)) / kSecond};
+  model.faults = faults;
+  model.Propose(ControlWave{"", "all", WaveAction::kStart});
+  const Micros start = model.now;
+  const WaveRecord& wave = model.state.waves.at("all");
+  while (wave.state != WaveState::kDone && model.now - start < 24 * 60 * kMinute) {
+    if (wave.state == WaveState::kPaused) {  // an operator looks and resumes
+      ++outcome.pauses;
+      model.Propose(ControlWave{"", "all", WaveAction::kResume});
+    }
+    model.Step([&](Plan& plan) {
+      for (const CommandBody& body : plan.commands) {
+        const auto* begun = std::get_if<StartVmOperation>(&body);
+        if (begun == nullptr) continue;
+        const VmRecord& vm = model.state.vms.at(begun->vm);
+        const int least = model.state.config.pools.at(vm.pool).min_available;
+        if (vm.healthy && AvailableVms(model.state, vm.pool) <= least) ++outcome.below_budget;
+      }
+    });
+  }
+  outcome.rollout_s = static_cast<double>(model.now - start) / kSecond;
+  outcome.done = wave.done.size();
+  outcome.failed = wave.failed.size();
+  outcome.state = NameOf(kWaveStateNames, wave.state);
+  return outcome;
+}
+
+inline std::string WaveLine(const std::string& name, const WaveOutcome& outcome) {
+  char line[256];
+  std::snprintf(line, sizeof(line),
+                "wave %-22s rollout_s=%.1f bound_s=%.1f ratio=%.3f done=%zu failed=%zu pauses=%d "
+                "over_budget=%d state=%s",
+                name.c_str(), outcome.rollout_s, outcome.bound_s,
+                outcome.rollout_s / outcome.bound_s, outcome.done, outcome.failed, outcome.pauses,
+                outcome.below_budget, outcome.state.c_str());
+  return line;
+}
+
+/// Roll-out of one wave over each deployment, calm and with faults, against the bound and against
+/// one VM at a time.
+inline ScenarioResult WaveScenario(std::uint64_t seed, bool with_target) {
+  ScenarioResult result;
+  std::vector<Deployment> deployments = {FederationDeployment(), QureshiDeployment()};
+  if (with_target) deployments.push_back(TargetDeployment());
+  const FleetModel::Faults faults{
+      .operation_fails = 0.05, .vm_lost_every = 5 * kMinute, .leader_every = 3 * kMinute};
+  for (const Deployment& deployment : deployments) {
+    result.Add(WaveLine(deployment.name + "/calm", RunWave(deployment, seed, 0, {})));
+    result.Add(WaveLine(deployment.name + "/faults", RunWave(deployment, seed, 0, faults)));
+    if (deployment.pools.size() > 100) continue;
+    result.Add(WaveLine(deployment.name + "/one-at-a-time", RunWave(deployment, seed, 1, {})));
+  }
+  return result;
+}
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_BENCH_WAVE_SCENARIO_H_
