--- a/replication/replica.cc
+++ b/replication/replica.cc
@@ -49,8 +49,9 @@
   if (const auto* vote = std::get_if<VoteReply>(&message)) return OnVoteReply(from, *vote);
   if (const auto* append = std::get_if<AppendRequest>(&message)) return OnAppend(from, *append);
   if (const auto* reply = std::get_if<AppendReply>(&message)) return OnAppendReply(from, *reply);
-  if (const auto* chunk = std::get_if<SnapshotChunk>(&message))
+  if (const auto* chunk = std::get_if<SnapshotChunk>(&message)) {
     return OnSnapshotChunk(from, *chunk);
+  }
   OnSnapshotReply(from, std::get<SnapshotReply>(message));
 }
 
--- a/replication/replica_impl.h
+++ b/replication/replica_impl.h
@@ -19,8 +19,8 @@
 namespace godwitpaddle::replication {
 
 /// Entries of one append message, and data of one snapshot chunk.
-inline constexpr std::size_t kMaxAppendBytes = 256 * 1024;
-inline constexpr std::size_t kSnapshotChunkBytes = 64 * 1024;
+inline constexpr std::size_t kMaxAppendBytes = std::size_t{256} * 1024;
+inline constexpr std::size_t kSnapshotChunkBytes = std::size_t{64} * 1024;
 /// Append messages that may be unacknowledged per member.
 inline constexpr std::size_t kMaxInFlight = 16;
 /// Chunks of a snapshot sent ahead of the acknowledged ones; covers a round trip between regions.
--- a/replication/snapshot.cc
+++ b/replication/snapshot.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Bytes of the log kept before a snapshot for members that are a little behind.
-constexpr std::size_t kTailBytes = 4 * 1024 * 1024;
+constexpr std::size_t kTailBytes = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -32,8 +32,9 @@
   }
   // A member that is receiving an older snapshot goes on with the entries after it.
   for (const auto& [id, peer] : progress) {
-    if (!peer.snapshot || peer.snapshot->index + 2 * options.snapshot_every < snapshot_index)
+    if (!peer.snapshot || peer.snapshot->index + 2 * options.snapshot_every < snapshot_index) {
       continue;
+    }
     start = std::min(start, peer.snapshot->index);
   }
   return std::max(start, log.base());
--- a/replication/storage.cc
+++ b/replication/storage.cc
@@ -25,7 +25,7 @@
 constexpr std::string_view kSegmentPrefix = "log-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
 /// A segment is closed at this size, so that a snapshot frees the space before it.
-constexpr std::size_t kSegmentBytes = 8 * 1024 * 1024;
+constexpr std::size_t kSegmentBytes = std::size_t{8} * 1024 * 1024;
 
 /// What one batch changes in the log; one frame.
 struct LogRecord {
--- a/tests/replica_test.cc
+++ b/tests/replica_test.cc
@@ -79,10 +79,11 @@
   }
 
   SECTION("costs an idle leader one small message per member and heartbeat") {
+    const std::uint64_t others = cluster.size() - 1;
     cluster.sent.clear();
     cluster.RunFor(10 * kSecond);
-    CHECK(cluster.sent["append"] <= 51U * (cluster.size() - 1));
-    CHECK(cluster.sent["append_reply"] <= 51U * (cluster.size() - 1));
+    CHECK(cluster.sent["append"] <= 51 * others);
+    CHECK(cluster.sent["append_reply"] <= 51 * others);
     CHECK(cluster.sent.size() == 2);
   }
 
--- a/tests/replication_cluster.cc
+++ b/tests/replication_cluster.cc
@@ -208,8 +208,9 @@
     if (node.disk.pending) Violation(node.id + " has two batches under way");
     if (node.self.has_disk) node.disk.pending = std::move(effects.persist);
     Micros done = now_;
-    if (node.self.has_disk)
+    if (node.self.has_disk) {
       done += 200 + static_cast<Micros>(UniformBelow(rng_, 2'000 + slow_disk));
+    }
     OnNode(index, node.life, done, [this, index, token](SimNode& target) {
       if (target.disk.pending) target.disk.Apply(*target.disk.pending);
       target.disk.pending.reset();
@@ -337,9 +338,9 @@
 
 int Cluster::Leader() const {
   for (int i = 0; i < size(); ++i) {
-    if (Up(i) && nodes_[i].frozen_until <= now_ &&
-        nodes_[i].replica->HoldsLease(LocalNow(nodes_[i])))
-      return i;
+    const SimNode& node = nodes_[i];
+    if (!Up(i) || node.frozen_until > now_) continue;
+    if (node.replica->HoldsLease(LocalNow(node))) return i;
   }
   return -1;
 }
--- a/tests/replication_soak.cc
+++ b/tests/replication_soak.cc
@@ -78,10 +78,10 @@
 
   void Fault() {
     using Action = void (Soak::*)();
-    static constexpr std::array<Action, 10> kActions = {
-        &Soak::BadLinks, &Soak::SplitGroup, &Soak::CutOneWay, &Soak::IsolateLeader,
-        &Soak::Freeze,   &Soak::Crash,      &Soak::CrashAll,  &Soak::LoseDisk,
-        &Soak::Remove,   &Soak::SlowDisks};
+    static constexpr std::array<Action, 11> kActions = {
+        &Soak::BadLinks, &Soak::SplitGroup, &Soak::CutOneWay,    &Soak::IsolateLeader,
+        &Soak::Freeze,   &Soak::Crash,      &Soak::CrashAll,     &Soak::LoseDisk,
+        &Soak::Remove,   &Soak::SlowDisks,  &Soak::ElectionStorm};
     (this->*kActions[UniformBelow(rng_, kActions.size())])();
     for (int i = 0; i < cluster_.size(); ++i) {
       if (!cluster_.Up(i) && Below(3) == 0) cluster_.Restart(i);
@@ -167,6 +167,33 @@
     cluster_.slow_disk = Below(2) == 0 ? 0 : 300 * kMillisecond;
   }
 
+  /// Cuts one voter off the leader alone, so that it asks the others for votes, and restarts those
+  /// again and again while votes and acknowledgements are on their way.
+  void ElectionStorm() {
+    const int leader = cluster_.Leader();
+    const int candidate = AnyNode();
+    if (leader < 0 || leader == candidate) return;
+    Count("election_storm");
+    const Micros end = cluster_.now() + 3 * kSecond;
+    cluster_.Cut(leader, candidate, end);
+    cluster_.Cut(candidate, leader, end);
+    const bool cut_more = Below(2) == 0;
+    if (Below(2) == 0) cluster_.slow_disk = 100 * kMillisecond;
+    if (Below(2) == 0) cluster_.links().late = 0.3;
+    const int restarts = Below(3);
+    while (cluster_.now() < end) {
+      cluster_.RunFor(Within(100 * kMillisecond));
+      if (cut_more) {
+        cluster_.Cut(AnyNode(), AnyNode(), cluster_.now() + Within(kSecond));
+      }
+      const int node = AnyNode();
+      if (node == leader || node == candidate || !cluster_.Up(node) || Below(2) >= restarts)
+        continue;
+      cluster_.Crash(node);
+      cluster_.Restart(node);
+    }
+  }
+
   /// Waits for the repair of a lost voter and loses another one right after.
   void SecondLoss() {
     cluster_.Heal();
--- a/tests/replication_soak_main.cc
+++ b/tests/replication_soak_main.cc
@@ -5,11 +5,11 @@
 #include "tests/replication_soak.h"
 
 int main(int argc, char** argv) {
-  long long seed = 1;
-  long long steps = 1'000'000;
+  int seed = 1;
+  int steps = 1'000'000;
   const poptOption table[] = {
-      {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "Seed of all random choices", "N"},
-      {"steps", 0, POPT_ARG_LONGLONG, &steps, 0, "Events to run at least", "N"},
+      {"seed", 0, POPT_ARG_INT, &seed, 0, "Seed of all random choices", "N"},
+      {"steps", 0, POPT_ARG_INT, &steps, 0, "Events to run at least", "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context =
       poptGetContext("replication_soak", argc, const_cast<const char**>(argv), table, 0);
