Accrue the lag of shares over slots in use only

Cause: slots that fit no waiting request counted as due to the teams; every lag then grew to its bound, where the large teams always came first. A trace showed the smallest team at 2 of 3.1 slots for whole bursts.

--- a/bench/scheduling_scenario.h
+++ b/bench/scheduling_scenario.h
@@ -61,6 +61,7 @@
 struct Distance {
   double mean = 0;
   double worst = 0;
+  std::string where;  // run and team of the worst
 };
 
 /// Distance of each team's use from its due part, relative to that part, in percent.
@@ -71,7 +72,11 @@
     if (use.second < 1) continue;
     const double relative = 100 * std::abs(use.first - use.second) / use.second;
     distance.mean += relative;
-    distance.worst = std::max(distance.worst, relative);
+    if (relative > distance.worst) {
+      distance.worst = relative;
+      distance.where = (use.first > use.second ? "% over " : "% under ") + name + " of " +
+                       std::to_string(use.second) + " slot seconds";
+    }
     ++count;
   }
   if (count > 0) distance.mean /= count;
@@ -117,7 +122,7 @@
     report.Goal(scenario + " " + measure, policy, value, unit, bound);
   };
   goal("share distance mean", share.mean, "%", 2);
-  goal("share distance worst", share.worst, "%", 5);
+  goal("share distance worst", share.worst, share.where.c_str(), 5);
   line("share distance per burst mean", burst.mean, "points");
   line("share distance per burst worst", burst.worst, "points");
   goal("deadlines missed", missed, "%", baseline_missed);
--- a/decision/dispatch.cc
+++ b/decision/dispatch.cc
@@ -19,12 +19,13 @@
 
 int TeamToServe(const SchedulerState& state, std::size_t priority,
                 const std::vector<bool>& passed_over) {
+  const double horizon_s = LagHorizon(state.mean_run_s);
   int best = -1;
   double best_shortfall = 0;
   for (int i = 0; i < static_cast<int>(state.teams.size()); ++i) {
     const TeamLine& team = state.teams[i];
     if (passed_over[i] || team.ready[priority].empty() || team.running >= team.cap) continue;
-    const double shortfall = Shortfall(team);
+    const double shortfall = Shortfall(team, horizon_s);
     if (best < 0 || shortfall > best_shortfall) {
       best = i;
       best_shortfall = shortfall;
@@ -102,6 +103,12 @@
   return static_cast<int>(std::ceil(state.options.urgent.reserve * state.servers.ready_slots));
 }
 
+double UnitsInUse(const SchedulerState& state) {
+  double units = 0;
+  for (const TeamLine& team : state.teams) units += team.units;
+  return units;
+}
+
 bool MayBeOffered(const TeamLine& team, std::size_t priority) {
   return !team.held[priority].empty() && team.running + team.offered < team.cap;
 }
@@ -111,20 +118,24 @@
 std::vector<Placement> StartRequests(SchedulerState& state,
                                      const std::function<int(const TeamId&)>& cap) {
   std::vector<Placement> placements;
-  double capacity = state.servers.index.free_slots;
   for (TeamLine& team : state.teams) {
     if (team.queued > 0) team.cap = std::min(team.limit, cap(team.name));
-    capacity += team.units;
   }
-  DivideCapacity(state.teams, capacity);
+  DivideCapacity(state.teams, UnitsInUse(state) + state.servers.index.free_slots);
   StartPriority(state, kUrgentIndex, 0, placements);
   StartPriority(state, static_cast<std::size_t>(Priority::kNormal), ReservedSlots(state),
                 placements);
+  // Free slots that fit no waiting request are due to nobody; counted as due, they made every lag
+  // grow to its bound, where the large teams always came first.
+  if (state.servers.index.free_slots > 0 && state.queued > 0) {
+    DivideCapacity(state.teams, UnitsInUse(state));
+  }
   return placements;
 }
 
 std::vector<RequestId> OfferHeld(SchedulerState& state) {
   std::vector<RequestId> offers;
+  const double horizon_s = LagHorizon(state.mean_run_s);
   const double rate = state.mean_run_s > 0 ? state.running / state.mean_run_s : 0;
   const int ahead =
       state.servers.index.free_slots + static_cast<int>(std::ceil(rate * kClaimRoundTripS));
@@ -137,8 +148,8 @@
         if (!MayBeOffered(team, priority)) continue;
         const bool room = state.offered < ahead || team.offered < kOfferedPerTeam;
         if (!room) continue;
-        if (best < 0 || Shortfall(team) - team.offered >
-                            Shortfall(state.teams[best]) - state.teams[best].offered) {
+        if (best < 0 || Shortfall(team, horizon_s) - team.offered >
+                            Shortfall(state.teams[best], horizon_s) - state.teams[best].offered) {
           best = i;
         }
       }
--- a/decision/fair_queue.cc
+++ b/decision/fair_queue.cc
@@ -5,11 +5,9 @@
 namespace godwitpaddle {
 namespace {
 
-// Time within which a deviation is to be made good.
-constexpr double kLagHorizonS = 1.0;
-// Bound of the lag in seconds of the team's own entitled slots, so that a team that was kept from
+// Bound of the lag in horizons of the team's own entitled slots, so that a team that was kept from
 // running (no server fits) does not push out the others for long.
-constexpr double kMaxLagS = 2.0;
+constexpr double kMaxLagHorizons = 4.0;
 
 double WantedSlots(const TeamLine& team) {
   const int more = std::min(team.queued, std::max(0, team.cap - team.running));
@@ -66,20 +64,22 @@
   }
 }
 
-void AccrueLag(std::vector<TeamLine>& teams, Micros elapsed) {
+void AccrueLag(std::vector<TeamLine>& teams, Micros elapsed, double horizon_s) {
   const double seconds = static_cast<double>(elapsed) / kSecond;
   for (TeamLine& team : teams) {
     if (team.Waiting()) {
-      const double bound = kMaxLagS * std::max(1.0, team.entitled);
+      const double bound = kMaxLagHorizons * horizon_s * std::max(1.0, team.entitled);
       team.lag = std::clamp(team.lag + (team.entitled - team.units) * seconds, -bound, bound);
     } else if (team.lag != 0) {
-      team.lag *= std::max(0.0, 1 - seconds / kLagHorizonS);
+      team.lag *= std::max(0.0, 1 - seconds / horizon_s);
     }
   }
 }
 
-double Shortfall(const TeamLine& team) {
-  return team.entitled - team.units + team.lag / kLagHorizonS;
+double LagHorizon(double mean_run_s) { return std::clamp(mean_run_s, 0.5, 30.0); }
+
+double Shortfall(const TeamLine& team, double horizon_s) {
+  return team.entitled - team.units + team.lag / horizon_s;
 }
 
 }  // namespace godwitpaddle
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -53,12 +53,16 @@
 /// rest is lent to the others.
 void DivideCapacity(std::vector<TeamLine>& teams, double capacity);
 
+/// Seconds within which a deviation is to be made good: about one run time, since a started task
+/// cannot be taken back and a shorter time overshoots.
+double LagHorizon(double mean_run_s);
+
 /// Adds `elapsed` of deviation from the entitled slots to each waiting team's lag. The lag of a
 /// team without queued work fades, so that an unused share is not saved up.
-void AccrueLag(std::vector<TeamLine>& teams, Micros elapsed);
+void AccrueLag(std::vector<TeamLine>& teams, Micros elapsed, double horizon_s);
 
 /// Slots that the team should have more than it uses; the largest is served next.
-double Shortfall(const TeamLine& team);
+double Shortfall(const TeamLine& team, double horizon_s);
 
 }  // namespace godwitpaddle
 
--- a/decision/scheduler_state.cc
+++ b/decision/scheduler_state.cc
@@ -7,7 +7,7 @@
 
 void Advance(SchedulerState& state, Micros now) {
   if (now <= state.now) return;
-  if (state.now > 0) AccrueLag(state.teams, now - state.now);
+  if (state.now > 0) AccrueLag(state.teams, now - state.now, LagHorizon(state.mean_run_s));
   state.now = now;
   CheckServers(state.servers, now);
   if (state.servers.ready_slots > 0 || state.no_capacity_since == 0) state.no_capacity_since = now;
