Count the loss of a server once when judging it

Cause: a lost server breaks all its tasks at once, which led to a quarantine, so that it stayed unused for tens of seconds after its restart.

--- a/decision/quarantine.cc
+++ b/decision/quarantine.cc
@@ -102,7 +102,6 @@
 }
 
 void RecordRestart(ServerHealth& server) {
-  server.suspicion = 0;
   if (server.state == Probation::kQuarantined && server.times <= 1) {
     server.state = Probation::kTrial;
   }
--- a/decision/server_table.cc
+++ b/decision/server_table.cc
@@ -75,6 +75,7 @@
   }
   std::erase_if(server.ended, [now](const auto& e) { return e.second + kEndedMemory < now; });
   server.broken.clear();
+  server.broken_since_announcement = false;
   CountTasks(server, announcement, own_tasks, effect.observed);
   server.last = announcement;
   server.last.tasks.clear();
--- a/decision/server_table.h
+++ b/decision/server_table.h
@@ -42,6 +42,7 @@
   std::unordered_map<RequestId, TaskSize> own;  // running, with the size accounted for
   std::map<std::string, Micros> ended;          // own tasks that ended lately
   std::map<std::string, TaskSize> broken;       // own tasks that may still run after a break
+  bool broken_since_announcement = false;
   ServerHealth health;
   int counted_slots = 0;  // its part of ready_slots
 };
--- a/decision/task_end.cc
+++ b/decision/task_end.cc
@@ -32,6 +32,11 @@
                    state.now);
   }
   if (request.failures > 0 && !good && !trial) return;
+  if (end == TaskEnd::kBroken) {
+    // The loss of a server breaks all its tasks at once and is one event.
+    if (server.broken_since_announcement && !trial) return;
+    server.broken_since_announcement = true;
+  }
   if (!RecordEnd(server.health, state.health, queue, good, state.now)) return;
   if (server.health.state == Probation::kQuarantined) {
     state.servers.quarantine_ends.emplace(server.health.until, request.server);
