Bound the precedence of urgent requests and weigh reserve against checkpoint

Cause: a team that called everything urgent could take the pool, urgent requests were refused on the estimate of normal work, and no scenario had runs long enough to need room made for urgent work.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -7,6 +7,7 @@
 #include "bench/report.h"
 #include "bench/scheduling_scenario.h"
 #include "bench/signature.h"
+#include "bench/urgent_scenario.h"
 
 int main(int argc, char** argv) {
   using namespace godwitpaddle::bench;  // NOLINT(google-build-using-namespace)
@@ -15,6 +16,7 @@
   Signature signature;
   try {
     RunScheduling(brief, report, signature);
+    RunUrgent(brief, report, signature);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "policy: %s\n", error.what());
     return 2;
--- a/bench/pool_driver.h
+++ b/bench/pool_driver.h
@@ -26,9 +26,10 @@
   int failed = 0;         // given up
   int starts = 0;
   int wasted = 0;  // starts that did not lead to an answer in time
-  std::vector<double> urgent_wait_s;
-  double idle_slot_s = 0;   // free slots of healthy servers while work waits
-  double total_slot_s = 0;  // while work waits
+  int urgent_asked = 0;
+  std::vector<double> urgent_wait_s;  // of those that started
+  double idle_slot_s = 0;             // free slots of healthy servers while work waits
+  double total_slot_s = 0;            // while work waits
   double server_s = 0;
   double core_overload_s = 0;    // tasks use more cores than the server has
   double memory_overload_s = 0;  // the same for memory
@@ -170,6 +171,9 @@
       BenchRequest& entry = stream_[next_];
       const bool counts = !entry.never_runs && !entry.impossible;
       if (counts) ++figures_.asked;
+      if (entry.request.priority == Priority::kUrgent && !entry.impossible) {
+        ++figures_.urgent_asked;
+      }
       ++teams_[entry.request.team].queued;
       open_.insert(entry.request.id);
       if (policy_.Admit(entry.request, now_)) Refused(entry.request.id, true);
--- a/bench/scheduling_scenario.h
+++ b/bench/scheduling_scenario.h
@@ -127,6 +127,8 @@
   line("share distance per burst worst", burst.worst, "points");
   goal("deadlines missed", missed, "%", baseline_missed);
   goal("urgent start p99", urgent, "s", 1.9);
+  line("urgent not started",
+       100 - Percent(static_cast<double>(figures.urgent_wait_s.size()), figures.urgent_asked), "%");
   line("urgent start worst", Quantile(figures.urgent_wait_s, 1), "s");
   line("wasted runs", Percent(figures.wasted, figures.starts), "%");
   line("refused early", Percent(figures.refused_early, figures.asked), "%");
--- /dev/null
+++ b/bench/urgent_scenario.h
@@ -0,0 +1,50 @@
+#ifndef GODWITPADDLE_BENCH_URGENT_SCENARIO_H_
+#define GODWITPADDLE_BENCH_URGENT_SCENARIO_H_
+
+#include "bench/scheduling_scenario.h"
+
+namespace godwitpaddle::bench {
+
+/// A pool that is always full of runs of about a minute, where few slots come free by themselves:
+/// the case that reserve and checkpoint are weighed on.
+inline Deployment LongRuns() {
+  return {.name = "long runs",
+          .worker_cores = 1,
+          .worker_memory_mb = 2560,
+          .services = {{"batch", 8, true, 60, 0.1, 200, 120 * kSecond}},
+          .teams = SixTeams()};
+}
+
+inline void RunUrgent(bool brief, Report& report, Signature& signature) {
+  const Deployment deployment = LongRuns();
+  const Micros length = (brief ? 300 : 900) * kSecond;
+  bool ours = true;
+  for (const PolicyChoice& choice : Choices()) {
+    PoolFigures figures;
+    Signature ignored;
+    const auto policy = choice.make(OptionsOf(deployment, deployment.services.front()));
+    const DriverOptions options{.faults = false, .seed = 1, .length = length};
+    PoolDriver(deployment, 0, options, *policy, figures, ours ? signature : ignored).Run();
+    const double p99 = Quantile(figures.urgent_wait_s, 0.99);
+    if (ours) {
+      report.Goal("long runs urgent start p99", choice.name, p99, "s", 1.9);
+    } else {
+      report.Line("long runs urgent start p99", choice.name, p99, "s");
+    }
+    report.Line(
+        "long runs urgent not started", choice.name,
+        100 - Percent(static_cast<double>(figures.urgent_wait_s.size()), figures.urgent_asked),
+        "%");
+    report.Line("long runs idle server time", choice.name,
+                Percent(figures.idle_slot_s, figures.total_slot_s), "%");
+    report.Line("long runs answered in time", choice.name, Percent(figures.in_time, figures.asked),
+                "%");
+    report.Line("long runs refused late", choice.name, Percent(figures.refused_late, figures.asked),
+                "%");
+    ours = false;
+  }
+}
+
+}  // namespace godwitpaddle::bench
+
+#endif  // GODWITPADDLE_BENCH_URGENT_SCENARIO_H_
--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -45,18 +45,22 @@
   return room.lent < lendable && room.lent_to_team < (lendable + 1) / 2;
 }
 
-Micros EstimatedWait(const SchedulerState& state, const TeamLine& team, const OrderKey& key) {
+Micros EstimatedWait(const SchedulerState& state, const RequestState& request) {
+  const TeamLine& team = state.teams[request.team];
   const int free = state.servers.index.free_slots;
-  const double work = WorkAhead(team, key);
+  if (free > state.queued) return 0;
   double weights = team.weight;
   double used = 0;
   for (const TeamLine& other : state.teams) {
     used += other.units;
     if (&other != &team && (other.queued > 0 || other.units > 0)) weights += other.weight;
   }
-  if (free > state.queued) return 0;
-  const double part = weights > 0 ? (used + free) * team.weight / weights : 0;
+  // Urgent requests take the first slots that come free in the whole pool.
+  const bool urgent = request.request.priority == Priority::kUrgent && UrgentRoom(team) >= 1;
+  const double part =
+      urgent ? used + free : (weights > 0 ? (used + free) * team.weight / weights : 0);
   const double slots = std::max({part, team.entitled, 0.1});
+  const double work = WorkAhead(team, request.request.priority, request.key);
   return static_cast<Micros>(work / slots * kSecond);
 }
 
@@ -80,7 +84,7 @@
                        .team_queued = team.queued,
                        .lent = state.lent_places,
                        .lent_to_team = std::max(0, team.queued - team.guaranteed)};
-  const Micros wait = EstimatedWait(state, team, request.key);
+  const Micros wait = EstimatedWait(state, request);
   if (!HasQueueRoom(room)) {
     return Refuse(request, RefusalReason::kQueueFull, "the team's part of the queue is full",
                   std::max<Micros>(wait, kShortestRetry));
--- a/decision/admission.h
+++ b/decision/admission.h
@@ -21,8 +21,8 @@
 /// half of it to one team.
 bool HasQueueRoom(const QueueRoom& room);
 
-/// Expected wait of a request with this key, from the work ahead of it in its team's line.
-Micros EstimatedWait(const SchedulerState& state, const TeamLine& team, const OrderKey& key);
+/// Expected wait of a request, from the work ahead of it in its team's line.
+Micros EstimatedWait(const SchedulerState& state, const RequestState& request);
 
 /// Refuses a request that cannot run, would wait too long or finds no room.
 std::optional<Refusal> CheckAdmission(const SchedulerState& state, const RequestState& request);
--- a/decision/dispatch.cc
+++ b/decision/dispatch.cc
@@ -11,20 +11,29 @@
 // Servers looked at for one request; beyond, it waits for the next round.
 constexpr int kMaxVisits = 64;
 constexpr auto kUrgentIndex = static_cast<std::size_t>(Priority::kUrgent);
+constexpr auto kNormalIndex = static_cast<std::size_t>(Priority::kNormal);
 // Held requests that may be offered or claimed ahead of free slots: the starts expected within a
 // claim's round trip ...
 constexpr double kClaimRoundTripS = 0.1;
 // ... and this many per team, so that each team's next request is ready when its turn comes.
 constexpr int kOfferedPerTeam = 1;
 
-int TeamToServe(const SchedulerState& state, std::size_t priority,
+// Lines of a team that may start: urgent ones ahead of all teams while it has room for them, and
+// first among its own in any case.
+bool MayStart(const TeamLine& team, bool urgent_only) {
+  if (team.running >= team.cap) return false;
+  if (urgent_only) return !team.ready[kUrgentIndex].empty() && UrgentRoom(team) >= 1;
+  return !team.ready[kUrgentIndex].empty() || !team.ready[kNormalIndex].empty();
+}
+
+int TeamToServe(const SchedulerState& state, bool urgent_only,
                 const std::vector<bool>& passed_over) {
   const double horizon_s = LagHorizon(state.mean_run_s);
   int best = -1;
   double best_shortfall = 0;
   for (int i = 0; i < static_cast<int>(state.teams.size()); ++i) {
     const TeamLine& team = state.teams[i];
-    if (passed_over[i] || team.ready[priority].empty() || team.running >= team.cap) continue;
+    if (passed_over[i] || !MayStart(team, urgent_only)) continue;
     const double shortfall = Shortfall(team, horizon_s);
     if (best < 0 || shortfall > best_shortfall) {
       best = i;
@@ -87,15 +96,16 @@
   return false;
 }
 
-void StartPriority(SchedulerState& state, std::size_t priority, int spare_slots,
-                   std::vector<Placement>& placements) {
+void StartLines(SchedulerState& state, bool urgent_only, int spare_slots,
+                std::vector<Placement>& placements) {
   std::vector<bool> passed_over(state.teams.size(), false);
   while (state.servers.index.free_slots > spare_slots) {
-    const int team = TeamToServe(state, priority, passed_over);
+    const int team = TeamToServe(state, urgent_only, passed_over);
     if (team < 0) return;
-    if (!StartOneOf(state, state.teams[team].ready[priority], placements)) {
-      passed_over[team] = true;
-    }
+    const TeamLine& line = state.teams[team];
+    if (StartOneOf(state, line.ready[kUrgentIndex], placements)) continue;
+    if (!urgent_only && StartOneOf(state, line.ready[kNormalIndex], placements)) continue;
+    passed_over[team] = true;
   }
 }
 
@@ -122,9 +132,8 @@
     if (team.queued > 0) team.cap = std::min(team.limit, cap(team.name));
   }
   DivideCapacity(state.teams, UnitsInUse(state) + state.servers.index.free_slots);
-  StartPriority(state, kUrgentIndex, 0, placements);
-  StartPriority(state, static_cast<std::size_t>(Priority::kNormal), ReservedSlots(state),
-                placements);
+  StartLines(state, true, 0, placements);
+  StartLines(state, false, ReservedSlots(state), placements);
   // Free slots that fit no waiting request are due to nobody; counted as due, they made every lag
   // grow to its bound, where the large teams always came first.
   if (state.servers.index.free_slots > 0 && state.queued > 0) {
@@ -139,7 +148,7 @@
   const double rate = state.mean_run_s > 0 ? state.running / state.mean_run_s : 0;
   const int ahead =
       state.servers.index.free_slots + static_cast<int>(std::ceil(rate * kClaimRoundTripS));
-  for (const std::size_t priority : {kUrgentIndex, static_cast<std::size_t>(Priority::kNormal)}) {
+  for (const std::size_t priority : {kUrgentIndex, kNormalIndex}) {
     std::vector<bool> passed_over(state.teams.size(), false);
     while (true) {
       int best = -1;
--- a/decision/fair_queue.cc
+++ b/decision/fair_queue.cc
@@ -8,6 +8,10 @@
 // Bound of the lag in horizons of the team's own entitled slots, so that a team that was kept from
 // running (no server fits) does not push out the others for long.
 constexpr double kMaxLagHorizons = 4.0;
+// Urgent requests may take a team to this multiple of its entitled slots plus these slots; the lag
+// pays the excess back.
+constexpr double kUrgentExcess = 1.25;
+constexpr double kUrgentSlots = 2;
 
 double WantedSlots(const TeamLine& team) {
   const int more = std::min(team.queued, std::max(0, team.cap - team.running));
@@ -20,23 +24,32 @@
   return {std::min(request.deadline, request.arrived + kAgingBound), request.id};
 }
 
-void AddWork(TeamLine& team, const OrderKey& key, double slot_seconds) {
+void AddWork(TeamLine& team, Priority priority, const OrderKey& key, double slot_seconds) {
+  auto& by_second = team.work[static_cast<std::size_t>(priority)];
   const std::int64_t second = key.due / kSecond;
-  double& work = team.work[second];
+  double& work = by_second[second];
   work += slot_seconds;
   // Rounding leaves tiny remainders.
-  if (work < 1e-9) team.work.erase(second);
+  if (work < 1e-9) by_second.erase(second);
 }
 
-double WorkAhead(const TeamLine& team, const OrderKey& key) {
+double WorkAhead(const TeamLine& team, Priority priority, const OrderKey& key) {
   double sum = 0;
-  for (const auto& [second, work] : team.work) {
-    if (second > key.due / kSecond) break;
-    sum += work;
-  }
+  const auto add = [&](Priority of, bool all) {
+    for (const auto& [second, work] : team.work[static_cast<std::size_t>(of)]) {
+      if (!all && second > key.due / kSecond) break;
+      sum += work;
+    }
+  };
+  add(Priority::kUrgent, priority == Priority::kNormal);
+  if (priority == Priority::kNormal) add(Priority::kNormal, false);
   return sum;
 }
 
+double UrgentRoom(const TeamLine& team) {
+  return kUrgentExcess * team.entitled + kUrgentSlots - team.units;
+}
+
 void DivideCapacity(std::vector<TeamLine>& teams, double capacity) {
   std::vector<TeamLine*> open;
   double weights = 0;
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -33,8 +33,9 @@
   int running = 0;   // requests
   double units = 0;  // slots that the running requests stand for
   int queued = 0;
-  int guaranteed = 0;                    // queue places kept for the team
-  std::map<std::int64_t, double> work;   // expected slot seconds queued, by second of due time
+  int guaranteed = 0;  // queue places kept for the team
+  // Expected slot seconds queued, by priority and second of due time.
+  std::array<std::map<std::int64_t, double>, 2> work;
   std::array<OrderedRequests, 2> ready;  // by priority; may be placed
   std::array<OrderedRequests, 2> held;   // by priority; wait for TakeHeld
   int offered = 0;                       // returned by TakeHeld and not yet started
@@ -44,10 +45,15 @@
 };
 
 /// Adds (or with a negative value removes) expected slot seconds of a queued request.
-void AddWork(TeamLine& team, const OrderKey& key, double slot_seconds);
+void AddWork(TeamLine& team, Priority priority, const OrderKey& key, double slot_seconds);
 
-/// Expected slot seconds queued that are due no later than `key`, to within a second.
-double WorkAhead(const TeamLine& team, const OrderKey& key);
+/// Expected slot seconds queued before a request of this priority and key, to within a second.
+double WorkAhead(const TeamLine& team, Priority priority, const OrderKey& key);
+
+/// Slots that the team may still take for urgent requests ahead of the other teams' work. It may
+/// exceed its entitled slots a little; more would let a team that calls everything urgent take the
+/// pool.
+double UrgentRoom(const TeamLine& team);
 
 /// Divides `capacity` slots by weight; a team gets no more than it wants and is allowed, and the
 /// rest is lent to the others.
--- a/decision/scheduler_state.cc
+++ b/decision/scheduler_state.cc
@@ -63,7 +63,8 @@
   line[priority].insert(request.key);
   if (++team.queued > team.guaranteed) ++state.lent_places;
   ++state.queued;
-  AddWork(team, request.key, request.units * static_cast<double>(request.size.run) / kSecond);
+  AddWork(team, request.request.priority, request.key,
+          request.units * static_cast<double>(request.size.run) / kSecond);
   state.queues[request.queue].deadlines.emplace(request.request.deadline, request.request.id);
 }
 
@@ -86,7 +87,8 @@
   }
   if (team.queued-- > team.guaranteed) --state.lent_places;
   --state.queued;
-  AddWork(team, request.key, -request.units * static_cast<double>(request.size.run) / kSecond);
+  AddWork(team, request.request.priority, request.key,
+          -request.units * static_cast<double>(request.size.run) / kSecond);
   state.queues[request.queue].deadlines.erase({request.request.deadline, request.request.id});
 }
 
--- a/decision/task_orders.cc
+++ b/decision/task_orders.cc
@@ -24,7 +24,7 @@
 int UrgentWaiting(const SchedulerState& state) {
   int waiting = 0;
   for (const TeamLine& team : state.teams) {
-    int room = team.cap - team.running;
+    int room = std::min(team.cap - team.running, static_cast<int>(UrgentRoom(team)));
     for (const OrderKey& key : team.ready[static_cast<std::size_t>(Priority::kUrgent)]) {
       if (room-- <= 0) break;
       if (state.now - state.requests.at(key.id).request.arrived >= kUrgentPatience) ++waiting;
