Contain overruns and keep queue places for urgent requests

Cause: a full queue refused 10 to 18% of urgent requests before they could start, overruns were not contained, and the bound on urgent precedence did not hold over time (a team that called everything urgent kept 44% instead of 25%).

--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -39,10 +39,11 @@
 }  // namespace
 
 bool HasQueueRoom(const QueueRoom& room) {
-  if (room.bound <= 0) return false;
+  if (room.queued >= room.bound) return false;
   if (room.team_queued < room.guaranteed) return true;
-  const int lendable = room.bound / 2;
-  return room.lent < lendable && room.lent_to_team < (lendable + 1) / 2;
+  if (room.urgent && room.urgent_queued < room.urgent_places) return true;
+  const double lendable = kLentPart * room.bound;
+  return room.lent < lendable && room.lent_to_team < kLentToOne * lendable;
 }
 
 Micros EstimatedWait(const SchedulerState& state, const RequestState& request) {
@@ -56,7 +57,8 @@
     if (&other != &team && (other.queued > 0 || other.units > 0)) weights += other.weight;
   }
   // Urgent requests take the first slots that come free in the whole pool.
-  const bool urgent = request.request.priority == Priority::kUrgent && UrgentRoom(team) >= 1;
+  const bool urgent = request.request.priority == Priority::kUrgent &&
+                      UrgentRoom(team, LagHorizon(state.mean_run_s)) >= 1;
   const double part =
       urgent ? used + free : (weights > 0 ? (used + free) * team.weight / weights : 0);
   const double slots = std::max({part, team.entitled, 0.1});
@@ -80,6 +82,10 @@
                   kServerSilence);
   }
   const QueueRoom room{.bound = state.options.config.max_queue,
+                       .queued = state.queued,
+                       .urgent = request.request.priority == Priority::kUrgent,
+                       .urgent_places = team.urgent_places,
+                       .urgent_queued = team.urgent_queued,
                        .guaranteed = team.guaranteed,
                        .team_queued = team.queued,
                        .lent = state.lent_places,
--- a/decision/admission.h
+++ b/decision/admission.h
@@ -10,15 +10,27 @@
 
 /// Queue places of the pool at one moment.
 struct QueueRoom {
-  int bound = 0;       // PoolConfig::max_queue
-  int guaranteed = 0;  // of them kept for this team
+  int bound = 0;          // PoolConfig::max_queue
+  int queued = 0;         // by all teams
+  bool urgent = false;    // the request
+  int urgent_places = 0;  // kept for the team's urgent requests
+  int urgent_queued = 0;  // of the team
+  int guaranteed = 0;     // places kept for the team
   int team_queued = 0;
   int lent = 0;          // places beyond their guarantee that all teams use together
   int lent_to_team = 0;  // of them by this team
 };
 
-/// Half of the places is divided by weight and kept for the teams; the other half is lent, at most
-/// half of it to one team.
+// Parts of the queue's places that are divided by weight and kept for the teams: for any request,
+// and for urgent ones in addition, since a full queue must not keep urgent work out.
+inline constexpr double kGuaranteedPart = 0.3;
+inline constexpr double kUrgentPart = 0.05;
+// The rest is lent, at most this part of it to one team. With 0.45 lent, a tenth of the requests of
+// a burst were refused for want of a place that the other teams did not use.
+inline constexpr double kLentPart = 0.65;
+inline constexpr double kLentToOne = 0.6;
+
+/// Whether the queue has a place for the request.
 bool HasQueueRoom(const QueueRoom& room);
 
 /// Expected wait of a request, from the work ahead of it in its team's line.
--- a/decision/dispatch.cc
+++ b/decision/dispatch.cc
@@ -20,9 +20,9 @@
 
 // Lines of a team that may start: urgent ones ahead of all teams while it has room for them, and
 // first among its own in any case.
-bool MayStart(const TeamLine& team, bool urgent_only) {
+bool MayStart(const TeamLine& team, bool urgent_only, double horizon_s) {
   if (team.running >= team.cap) return false;
-  if (urgent_only) return !team.ready[kUrgentIndex].empty() && UrgentRoom(team) >= 1;
+  if (urgent_only) return !team.ready[kUrgentIndex].empty() && UrgentRoom(team, horizon_s) >= 1;
   return !team.ready[kUrgentIndex].empty() || !team.ready[kNormalIndex].empty();
 }
 
@@ -33,7 +33,7 @@
   double best_shortfall = 0;
   for (int i = 0; i < static_cast<int>(state.teams.size()); ++i) {
     const TeamLine& team = state.teams[i];
-    if (passed_over[i] || !MayStart(team, urgent_only)) continue;
+    if (passed_over[i] || !MayStart(team, urgent_only, horizon_s)) continue;
     const double shortfall = Shortfall(team, horizon_s);
     if (best < 0 || shortfall > best_shortfall) {
       best = i;
--- a/decision/fair_queue.cc
+++ b/decision/fair_queue.cc
@@ -8,8 +8,8 @@
 // Bound of the lag in horizons of the team's own entitled slots, so that a team that was kept from
 // running (no server fits) does not push out the others for long.
 constexpr double kMaxLagHorizons = 4.0;
-// Urgent requests may take a team to this multiple of its entitled slots plus these slots; the lag
-// pays the excess back.
+// Urgent requests may take a team to this multiple of its entitled slots plus these slots. The
+// lag lowers the bound, so that the excess does not last.
 constexpr double kUrgentExcess = 1.25;
 constexpr double kUrgentSlots = 2;
 
@@ -46,8 +46,9 @@
   return sum;
 }
 
-double UrgentRoom(const TeamLine& team) {
-  return kUrgentExcess * team.entitled + kUrgentSlots - team.units;
+double UrgentRoom(const TeamLine& team, double horizon_s) {
+  const double owed = std::min(0.0, team.lag / horizon_s);
+  return kUrgentExcess * team.entitled + kUrgentSlots + owed - team.units;
 }
 
 void DivideCapacity(std::vector<TeamLine>& teams, double capacity) {
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -33,7 +33,9 @@
   int running = 0;   // requests
   double units = 0;  // slots that the running requests stand for
   int queued = 0;
-  int guaranteed = 0;  // queue places kept for the team
+  int guaranteed = 0;     // queue places kept for the team
+  int urgent_places = 0;  // queue places kept for its urgent requests
+  int urgent_queued = 0;
   // Expected slot seconds queued, by priority and second of due time.
   std::array<std::map<std::int64_t, double>, 2> work;
   std::array<OrderedRequests, 2> ready;  // by priority; may be placed
@@ -53,7 +55,7 @@
 /// Slots that the team may still take for urgent requests ahead of the other teams' work. It may
 /// exceed its entitled slots a little; more would let a team that calls everything urgent take the
 /// pool.
-double UrgentRoom(const TeamLine& team);
+double UrgentRoom(const TeamLine& team, double horizon_s);
 
 /// Divides `capacity` slots by weight; a team gets no more than it wants and is allowed, and the
 /// rest is lent to the others.
--- a/decision/pool_scheduler.cc
+++ b/decision/pool_scheduler.cc
@@ -80,17 +80,7 @@
   Advance(state, now);
   const AnnouncementEffect effect =
       RecordAnnouncement(state.servers, announcement, state.own_tasks, now);
-  for (const ObservedTask& task : effect.observed) {
-    RequestState& request = state.requests.at(task.id);
-    UsageEstimate& usage = state.queues[request.queue].usage;
-    if (task.cores > 0) usage.cores.Add(task.cores);
-    if (task.memory_mb > 0) usage.memory_mb.Add(static_cast<double>(task.memory_mb));
-    TaskSize size = state.servers.servers[effect.server].own.at(task.id);
-    if (task.cores <= size.cores && task.memory_mb <= size.memory_mb) continue;
-    size.cores = std::max(size.cores, task.cores);
-    size.memory_mb = std::max(size.memory_mb, task.memory_mb);
-    TakeRoom(state.servers, effect.server, task.id, size);
-  }
+  for (const ObservedTask& task : effect.observed) ObserveUse(state, effect.server, task);
 }
 
 void PoolScheduler::SetBlockedVms(std::set<VmId> vms) {
--- a/decision/scheduler_state.cc
+++ b/decision/scheduler_state.cc
@@ -3,8 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "decision/admission.h"
+
 namespace godwitpaddle {
 
+namespace {
+
+constexpr auto kUrgentIndex = static_cast<std::size_t>(Priority::kUrgent);
+
+}  // namespace
+
 void Advance(SchedulerState& state, Micros now) {
   if (now <= state.now) return;
   if (state.now > 0) AccrueLag(state.teams, now - state.now, LagHorizon(state.mean_run_s));
@@ -50,7 +58,9 @@
   state.lent_places = 0;
   for (TeamLine& team : state.teams) {
     const double part = weights > 0 && team.limit > 0 ? team.weight / weights : 0;
-    team.guaranteed = static_cast<int>(std::ceil(part * state.options.config.max_queue / 2));
+    const double places = part * state.options.config.max_queue;
+    team.urgent_places = static_cast<int>(std::ceil(places * kUrgentPart));
+    team.guaranteed = static_cast<int>(std::ceil(places * kGuaranteedPart));
     state.lent_places += std::max(0, team.queued - team.guaranteed);
   }
 }
@@ -61,6 +71,7 @@
   request.stage = stage;
   auto& line = stage == RequestState::Stage::kHeld ? team.held : team.ready;
   line[priority].insert(request.key);
+  if (priority == kUrgentIndex) ++team.urgent_queued;
   if (++team.queued > team.guaranteed) ++state.lent_places;
   ++state.queued;
   AddWork(team, request.request.priority, request.key,
@@ -85,6 +96,7 @@
     case RequestState::Stage::kRunning:
       return;
   }
+  if (priority == kUrgentIndex) --team.urgent_queued;
   if (team.queued-- > team.guaranteed) --state.lent_places;
   --state.queued;
   AddWork(team, request.request.priority, request.key,
--- a/decision/scheduler_state.h
+++ b/decision/scheduler_state.h
@@ -74,6 +74,7 @@
   int offered = 0;
   int lent_places = 0;              // queue places that teams use beyond their guarantee
   std::set<RequestId> checkpoints;  // ordered to make room and not yet ended
+  std::set<RequestId> overruns;     // running tasks that use far more than they were expected to
   Micros no_capacity_since = 0;
   mutable int violation_checks = 0;
 };
@@ -101,6 +102,9 @@
 /// Held requests that are next in line.
 std::vector<RequestId> OfferHeld(SchedulerState& state);
 
+/// Compares a task's announced use with what was accounted for it.
+void ObserveUse(SchedulerState& state, int server, const ObservedTask& task);
+
 /// Orders about running work.
 std::vector<TaskOrder> MakeOrders(SchedulerState& state);
 
--- a/decision/task_end.cc
+++ b/decision/task_end.cc
@@ -11,6 +11,9 @@
 // Weight of a new run time in the smoothed mean.
 constexpr double kRunSmoothing = 0.05;
 
+// Containment orders after which the task was told to stop: its end is no evidence.
+constexpr int kStopOrdered = 3;
+
 void LearnRun(SchedulerState& state, const RequestState& request) {
   const double seconds = static_cast<double>(state.now - request.started) / kSecond;
   state.queues[request.queue].usage.run_seconds.Add(seconds);
@@ -22,7 +25,7 @@
 // Only the first attempt of a request is evidence. When a second server fails it too, the request
 // is at fault and the first server is cleared.
 void JudgeServer(SchedulerState& state, const RequestState& request, TaskEnd end) {
-  if (end == TaskEnd::kCheckpointed) return;
+  if (end == TaskEnd::kCheckpointed || request.containment >= kStopOrdered) return;
   Server& server = state.servers.servers[request.server];
   const QueueId& queue = state.queues[request.queue].name;
   const bool good = end == TaskEnd::kDone;
@@ -51,6 +54,7 @@
   --state.running;
   state.preemptible[request.team].erase({request.started, request.request.id});
   state.checkpoints.erase(request.request.id);
+  state.overruns.erase(request.request.id);
   state.own_tasks.erase(request.task_id);
   Server& server = state.servers.servers[request.server];
   const auto own = server.own.find(request.request.id);
--- a/decision/task_orders.cc
+++ b/decision/task_orders.cc
@@ -8,12 +8,15 @@
 // An urgent request waits this long for a slot to come free by itself before lower work is asked to
 // checkpoint.
 constexpr Micros kUrgentPatience = 300 * kMillisecond;
-// An order that has had no effect after this time is given again.
-constexpr Micros kOrderRepeat = 2 * kSecond;
 // A drain asks running work to checkpoint after this time.
 constexpr Micros kDrainPatience = 60 * kSecond;
-// A task that uses more than this multiple of its accounted size overruns.
-constexpr double kOverrun = 1.25;
+// A task overruns when it uses more than this multiple of the size expected at its start, and its
+// server has less than this part left.
+constexpr double kOverrun = 2;
+constexpr double kTight = 0.1;
+// Time that an order against an overrun has to take effect before the next stronger one; two
+// announcements and the lag of the usage report.
+constexpr Micros kContainmentStep = 3 * kSecond;
 
 TaskOrder Order(const SchedulerState& state, const RequestState& request, TaskOrderKind kind) {
   return {.id = request.request.id,
@@ -22,9 +25,10 @@
 }
 
 int UrgentWaiting(const SchedulerState& state) {
+  const double horizon_s = LagHorizon(state.mean_run_s);
   int waiting = 0;
   for (const TeamLine& team : state.teams) {
-    int room = std::min(team.cap - team.running, static_cast<int>(UrgentRoom(team)));
+    int room = std::min(team.cap - team.running, static_cast<int>(UrgentRoom(team, horizon_s)));
     for (const OrderKey& key : team.ready[static_cast<std::size_t>(Priority::kUrgent)]) {
       if (room-- <= 0) break;
       if (state.now - state.requests.at(key.id).request.arrived >= kUrgentPatience) ++waiting;
@@ -84,10 +88,62 @@
   }
 }
 
+bool Tight(const Server& server, double left) {
+  const double cores = server.last.cores * (1 - left);
+  const double memory_mb = static_cast<double>(server.last.memory_mb) * (1 - left);
+  return (server.last.cores > 0 && server.used_cores > cores) ||
+         (server.last.memory_mb > 0 && static_cast<double>(server.used_memory_mb) > memory_mb);
+}
+
+// The next order against an overrun, or nothing when no stronger one is allowed.
+std::optional<TaskOrderKind> NextContainment(const RequestState& request, const Server& server) {
+  if (request.containment == 0) return TaskOrderKind::kThrottle;
+  if (!request.request.idempotent) return std::nullopt;
+  if (request.containment == 1) return TaskOrderKind::kCheckpoint;
+  const bool neighbours = server.own.size() + static_cast<std::size_t>(server.foreign) > 1;
+  if (request.containment == 2 && neighbours && Tight(server, 0)) return TaskOrderKind::kStop;
+  return std::nullopt;
+}
+
+void ContainOverruns(SchedulerState& state, std::vector<TaskOrder>& orders) {
+  for (const RequestId id : state.overruns) {
+    RequestState& request = state.requests.at(id);
+    if (request.containment > 0 && state.now - request.contained < kContainmentStep) continue;
+    const auto kind = NextContainment(request, state.servers.servers[request.server]);
+    if (!kind) continue;
+    ++request.containment;
+    request.contained = state.now;
+    orders.push_back(Order(state, request, *kind));
+  }
+}
+
 }  // namespace
 
+void ObserveUse(SchedulerState& state, int server, const ObservedTask& task) {
+  RequestState& request = state.requests.at(task.id);
+  UsageEstimate& usage = state.queues[request.queue].usage;
+  if (task.cores > 0) usage.cores.Add(task.cores);
+  if (task.memory_mb > 0) usage.memory_mb.Add(static_cast<double>(task.memory_mb));
+  const TaskSize& expected = request.size;
+  const bool far =
+      (expected.cores > 0 && task.cores > kOverrun * expected.cores) ||
+      (expected.memory_mb > 0 &&
+       static_cast<double>(task.memory_mb) > kOverrun * static_cast<double>(expected.memory_mb));
+  if (far && Tight(state.servers.servers[server], kTight)) {
+    state.overruns.insert(task.id);
+  } else {
+    state.overruns.erase(task.id);
+  }
+  TaskSize size = state.servers.servers[server].own.at(task.id);
+  if (task.cores <= size.cores && task.memory_mb <= size.memory_mb) return;
+  size.cores = std::max(size.cores, task.cores);
+  size.memory_mb = std::max(size.memory_mb, task.memory_mb);
+  TakeRoom(state.servers, server, task.id, size);
+}
+
 std::vector<TaskOrder> MakeOrders(SchedulerState& state) {
   std::vector<TaskOrder> orders;
+  ContainOverruns(state, orders);
   MakeRoomForUrgent(state, orders);
   CheckpointDrained(state, orders);
   return orders;
--- a/tests/pool_scheduler_test.cc
+++ b/tests/pool_scheduler_test.cc
@@ -353,6 +353,71 @@
   CHECK(placed.front().id == 100);
 }
 
+TEST_CASE("A team that calls everything urgent does not take the pool") {
+  SchedulerOptions options = Options();
+  options.urgent.checkpoint = false;
+  PoolScheduler scheduler(options);
+  Micros now = kSecond;
+  std::deque<RequestId> running;
+  RequestId next = 1;
+  double large = 0;
+  for (int step = 0; step < 1500; ++step) {
+    now += 10 * kMillisecond;
+    for (int i = 0; i < 4; ++i) scheduler.Announce(Server(i), now);
+    while (scheduler.QueuedOf("large") < 4) {
+      REQUIRE_FALSE(scheduler.Admit(Request(next++, "large", now), now));
+    }
+    while (scheduler.QueuedOf("small") < 4) {
+      auto urgent = Request(next++, "small", now);
+      urgent.priority = Priority::kUrgent;
+      REQUIRE_FALSE(scheduler.Admit(urgent, now));
+    }
+    for (const Placement& p : scheduler.Dispatch(NoCap, now)) running.push_back(p.id);
+    if (step >= 500) large += scheduler.RunningOf("large") / 1000.0;
+    scheduler.Finish(running.front(), TaskEnd::kDone, now);
+    running.pop_front();
+  }
+  CHECK(large / 16 == Approx(0.75).epsilon(0.05));
+}
+
+TEST_CASE("An overrun is throttled, then checkpointed, and stopped only when it harms others") {
+  SchedulerOptions options = Options();
+  PoolScheduler scheduler(options);
+  Micros now = kSecond;
+  auto server = Server(0);
+  scheduler.Announce(server, now);
+  for (RequestId id = 1; id <= 2; ++id) {
+    auto request = Request(id, "small", now);
+    request.deadline = now + kMinute;
+    REQUIRE_FALSE(scheduler.Admit(request, now));
+  }
+  const auto placed = scheduler.Dispatch(NoCap, now);
+  REQUIRE(placed.size() == 2);
+  const auto orders = [&](double cores) {
+    std::vector<TaskOrderKind> kinds;
+    for (int second = 0; second < 20; ++second) {
+      now += kSecond;
+      server.tasks = {{placed[0].task_id, cores, 500}, {placed[1].task_id, 1, 500}};
+      scheduler.Announce(server, now);
+      for (const TaskOrder& order : scheduler.TakeOrders(now)) {
+        CHECK(order.id == placed[0].id);
+        kinds.push_back(order.kind);
+      }
+    }
+    return kinds;
+  };
+  SECTION("an overrun that leaves room is not touched") { CHECK(orders(3).empty()); }
+  SECTION("a tight server") {
+    CHECK(orders(6.5) ==
+          std::vector<TaskOrderKind>{TaskOrderKind::kThrottle, TaskOrderKind::kCheckpoint});
+  }
+  SECTION("an overloaded server") {
+    CHECK(orders(9) == std::vector<TaskOrderKind>{TaskOrderKind::kThrottle,
+                                                  TaskOrderKind::kCheckpoint,
+                                                  TaskOrderKind::kStop});
+  }
+}
+
 TEST_CASE("Every admitted request ends exactly once under random events") {
   const auto seed = GENERATE(1, 2, 3, 4, 5, 6);
   Rng rng(seed);
