--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -41,11 +41,52 @@
 bool HasQueueRoom(const QueueRoom& room) {
   if (room.queued >= room.bound) return false;
   if (room.team_queued < room.guaranteed) return true;
-  if (room.urgent && room.urgent_queued < room.urgent_places) return true;
   const double lendable = kLentPart * room.bound;
   return room.lent < lendable && room.lent_to_team < kLentToOne * lendable;
 }
 
+bool MayDisplace(const QueueRoom& room) {
+  return room.urgent && room.urgent_queued < room.urgent_places;
+}
+
+QueueRoom RoomFor(const SchedulerState& state, const RequestState& request) {
+  const TeamLine& team = state.teams[request.team];
+  return {.bound = state.options.config.max_queue,
+          .queued = state.queued,
+          .urgent = request.request.priority == Priority::kUrgent,
+          .urgent_places = team.urgent_places,
+          .urgent_queued = team.urgent_queued,
+          .guaranteed = team.guaranteed,
+          .team_queued = team.queued,
+          .lent = state.lent_places,
+          .lent_to_team = std::max(0, team.queued - team.guaranteed)};
+}
+
+bool DisplaceOne(SchedulerState& state) {
+  const TeamLine* most = nullptr;
+  for (const TeamLine& team : state.teams) {
+    if (team.queued <= team.guaranteed) continue;
+    if (most == nullptr || team.queued - team.guaranteed > most->queued - most->guaranteed) {
+      most = &team;
+    }
+  }
+  if (most == nullptr) return false;
+  constexpr auto kNormal = static_cast<std::size_t>(Priority::kNormal);
+  for (const OrderedRequests* line : {&most->held[kNormal], &most->ready[kNormal]}) {
+    if (line->empty()) continue;
+    const auto victim = state.requests.find(line->rbegin()->id);
+    // A claimed or once started request keeps its place.
+    if (victim->second.starts > 0 || victim->second.claimed) continue;
+    state.displaced.push_back(Refuse(victim->second, RefusalReason::kQueueFull,
+                                     "an urgent request took the place in the queue",
+                                     kShortestRetry));
+    Dequeue(state, victim->second);
+    state.requests.erase(victim);
+    return true;
+  }
+  return false;
+}
+
 Micros EstimatedWait(const SchedulerState& state, const RequestState& request) {
   const TeamLine& team = state.teams[request.team];
   const int free = state.servers.index.free_slots;
@@ -81,17 +122,9 @@
     return Refuse(request, RefusalReason::kNoCapacity, "no server of the pool is ready",
                   kServerSilence);
   }
-  const QueueRoom room{.bound = state.options.config.max_queue,
-                       .queued = state.queued,
-                       .urgent = request.request.priority == Priority::kUrgent,
-                       .urgent_places = team.urgent_places,
-                       .urgent_queued = team.urgent_queued,
-                       .guaranteed = team.guaranteed,
-                       .team_queued = team.queued,
-                       .lent = state.lent_places,
-                       .lent_to_team = std::max(0, team.queued - team.guaranteed)};
+  const QueueRoom room = RoomFor(state, request);
   const Micros wait = EstimatedWait(state, request);
-  if (!HasQueueRoom(room)) {
+  if (!HasQueueRoom(room) && !MayDisplace(room)) {
     return Refuse(request, RefusalReason::kQueueFull, "the team's part of the queue is full",
                   std::max<Micros>(wait, kShortestRetry));
   }
--- a/decision/admission.h
+++ b/decision/admission.h
@@ -21,18 +21,29 @@
   int lent_to_team = 0;  // of them by this team
 };
 
-// Parts of the queue's places that are divided by weight and kept for the teams: for any request,
-// and for urgent ones in addition, since a full queue must not keep urgent work out.
+// Part of the queue's places that is divided by weight and kept for the teams. The rest is lent, at
+// most kLentToOne of it to one team. With less to lend, a tenth of the requests of a burst were
+// refused for want of a place that the other teams did not use.
 inline constexpr double kGuaranteedPart = 0.3;
-inline constexpr double kUrgentPart = 0.05;
-// The rest is lent, at most this part of it to one team. With 0.45 lent, a tenth of the requests of
-// a burst were refused for want of a place that the other teams did not use.
-inline constexpr double kLentPart = 0.65;
+inline constexpr double kLentPart = 0.7;
 inline constexpr double kLentToOne = 0.6;
+// Part of the places, divided by weight, up to which urgent requests may displace requests on lent
+// places, since a full queue must not keep urgent work out. Places kept free for them cost more
+// than one point of deadlines.
+inline constexpr double kUrgentPart = 0.1;
 
 /// Whether the queue has a place for the request.
 bool HasQueueRoom(const QueueRoom& room);
 
+/// Whether an urgent request may take the place of a lent one.
+bool MayDisplace(const QueueRoom& room);
+
+QueueRoom RoomFor(const SchedulerState& state, const RequestState& request);
+
+/// Removes the last normal request of the team with the most lent places; false if there is none.
+/// It was never started, and the next Expire reports it.
+bool DisplaceOne(SchedulerState& state);
+
 /// Expected wait of a request, from the work ahead of it in its team's line.
 Micros EstimatedWait(const SchedulerState& state, const RequestState& request);
 
--- a/decision/dispatch.cc
+++ b/decision/dispatch.cc
@@ -67,6 +67,7 @@
   state.own_tasks[request.task_id] = request.request.id;
   TeamLine& team = state.teams[request.team];
   ++team.running;
+  if (request.request.priority == Priority::kUrgent) ++team.urgent_running;
   team.units += request.units;
   ++state.running;
   if (request.request.idempotent && request.request.priority == Priority::kNormal) {
--- a/decision/fair_queue.cc
+++ b/decision/fair_queue.cc
@@ -47,6 +47,9 @@
 }
 
 double UrgentRoom(const TeamLine& team, double horizon_s) {
+  // A team with few urgent requests running cannot be flooding the pool with them.
+  const double few = std::max(1.0, team.entitled / 2) - team.urgent_running;
+  if (few >= 1) return few;
   const double owed = std::min(0.0, team.lag / horizon_s);
   return kUrgentExcess * team.entitled + kUrgentSlots + owed - team.units;
 }
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -36,6 +36,7 @@
   int guaranteed = 0;     // queue places kept for the team
   int urgent_places = 0;  // queue places kept for its urgent requests
   int urgent_queued = 0;
+  int urgent_running = 0;
   // Expected slot seconds queued, by priority and second of due time.
   std::array<std::map<std::int64_t, double>, 2> work;
   std::array<OrderedRequests, 2> ready;  // by priority; may be placed
--- a/decision/pool_scheduler.cc
+++ b/decision/pool_scheduler.cc
@@ -97,9 +97,15 @@
                      .key = MakeOrderKey(request)};
   entry.size = CorrectedSize(state.queues[entry.queue].usage, request.size);
   entry.units = UnitsOf(state, entry.size);
+  if (state.requests.contains(request.id)) return std::nullopt;  // a repeat
   if (auto refusal = CheckAdmission(state, entry)) return refusal;
-  const auto [it, added] = state.requests.try_emplace(request.id, std::move(entry));
-  if (!added) return std::nullopt;  // a repeat of an admitted request
+  if (!HasQueueRoom(RoomFor(state, entry)) && !DisplaceOne(state)) {
+    return Refusal{.id = request.id,
+                   .reason = RefusalReason::kQueueFull,
+                   .message = "the queue is full",
+                   .retry_after = kSecond};
+  }
+  const auto it = state.requests.emplace(request.id, std::move(entry)).first;
   Enqueue(state, it->second,
           request.idempotent ? RequestState::Stage::kReady : RequestState::Stage::kHeld);
   return std::nullopt;
@@ -121,6 +127,7 @@
     return;
   }
   Dequeue(state, request);
+  request.claimed = true;
   Enqueue(state, request, RequestState::Stage::kReady);
 }
 
@@ -133,7 +140,7 @@
 std::vector<Refusal> PoolScheduler::Expire(Micros now) {
   SchedulerState& state = impl_->state;
   Advance(state, now);
-  std::vector<Refusal> refusals;
+  std::vector<Refusal> refusals = std::exchange(state.displaced, {});
   for (QueueLine& queue : state.queues) {
     if (queue.deadlines.empty()) continue;
     const Micros bound = now + ShortRun(queue.usage);
--- a/decision/pool_scheduler.h
+++ b/decision/pool_scheduler.h
@@ -181,7 +181,8 @@
   /// Decides what starts now. `cap(team)` is the most that the team may have running here.
   std::vector<Placement> Dispatch(const std::function<int(const TeamId&)>& cap, Micros now);
 
-  /// Queued requests whose deadline passed or cannot be met any more; they are removed.
+  /// Queued requests whose deadline passed or cannot be met any more, or whose place an urgent
+  /// request took; they are removed.
   std::vector<Refusal> Expire(Micros now);
 
   /// Orders about running work: room for urgent requests, overruns, drains that wait too long.
--- a/decision/scheduler_state.h
+++ b/decision/scheduler_state.h
@@ -28,6 +28,7 @@
   OrderKey key;
   TaskSize size;     // corrected
   double units = 1;  // slots that it stands for
+  bool claimed = false;
   int starts = 0;
   int failures = 0;           // starts that failed
   bool may_have_run = false;  // a failed start was sent
@@ -75,6 +76,7 @@
   int lent_places = 0;              // queue places that teams use beyond their guarantee
   std::set<RequestId> checkpoints;  // ordered to make room and not yet ended
   std::set<RequestId> overruns;     // running tasks that use far more than they were expected to
+  std::vector<Refusal> displaced;   // reported by the next Expire
   Micros no_capacity_since = 0;
   mutable int violation_checks = 0;
 };
--- a/decision/task_end.cc
+++ b/decision/task_end.cc
@@ -50,6 +50,7 @@
 void StopRunning(SchedulerState& state, RequestState& request, TaskEnd end) {
   TeamLine& team = state.teams[request.team];
   --team.running;
+  if (request.request.priority == Priority::kUrgent) --team.urgent_running;
   team.units = team.running > 0 ? team.units - request.units : 0;
   --state.running;
   state.preemptible[request.team].erase({request.started, request.request.id});
--- a/tests/pool_scheduler_test.cc
+++ b/tests/pool_scheduler_test.cc
@@ -94,6 +94,18 @@
     CHECK(admitted >= 40);
     CHECK_FALSE(admit("small"));
     CHECK(admit("large")->reason == RefusalReason::kQueueFull);
+
+    SECTION("and an urgent request displaces one of its own, which is told so once") {
+      const int queued = scheduler.queued();
+      auto urgent = Request(900, "large", now);
+      urgent.priority = Priority::kUrgent;
+      CHECK_FALSE(scheduler.Admit(urgent, now));
+      CHECK(scheduler.queued() == queued);
+      const auto refusals = scheduler.Expire(now);
+      REQUIRE(refusals.size() == 1);
+      CHECK(refusals.front().reason == RefusalReason::kQueueFull);
+      CHECK(scheduler.Expire(now).empty());
+    }
   }
 
   SECTION("A wait beyond the deadline is refused before it is queued") {
