--- a/decision/allotment_planner.cc
+++ b/decision/allotment_planner.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -17,7 +18,7 @@
 
 /// One incarnation's part of one team's limit.
 struct Share {
-  Incarnation incarnation;
+  const Incarnation* incarnation = nullptr;
   Allotment held;
   bool known = false;  // live, and has reported to this leader
   std::uint64_t applied = 0;
@@ -26,74 +27,95 @@
   int granted = 0;
 };
 
-std::vector<Share> SharesOf(const FleetState& state, const FleetView& view, const TeamId& team) {
-  const auto held = state.allotments.find(team);
-  std::vector<Share> shares;
+/// One incarnation with its reported teams, which are visited in order of their names.
+struct Cursor {
+  const Incarnation* incarnation = nullptr;
+  bool known = false;
+  std::uint64_t applied = 0;
+  std::map<TeamId, TeamUse>::const_iterator at;
+  std::map<TeamId, TeamUse>::const_iterator end;
+};
+
+std::vector<Cursor> CursorsOf(const FleetState& state, const FleetView& view) {
+  static const std::map<TeamId, TeamUse> kNoTeams;
+  std::vector<Cursor> cursors;
   for (const auto& [incarnation, node] : state.nodes) {
-    Share share{.incarnation = incarnation};
-    if (held != state.allotments.end()) {
-      const auto it = held->second.find(incarnation);
-      if (it != held->second.end()) share.held = it->second;
-    }
     const auto seen = view.nodes.find(incarnation);
     // A node that applied nothing has not reported: its use is not zero but unknown.
-    share.known = !node.lapsed && seen != view.nodes.end() && seen->second.applied_index > 0;
-    if (share.known) {
-      share.applied = seen->second.applied_index;
-      const auto use = seen->second.teams.find(team);
-      if (use != seen->second.teams.end()) share.use = use->second;
+    const bool known = !node.lapsed && seen != view.nodes.end() && seen->second.applied_index > 0;
+    const auto& teams = known ? seen->second.teams : kNoTeams;
+    cursors.push_back({.incarnation = &incarnation,
+                       .known = known,
+                       .applied = known ? seen->second.applied_index : 0,
+                       .at = teams.begin(),
+                       .end = teams.end()});
+  }
+  return cursors;
+}
+
+/// Shares of the team; teams must be asked for in order of their names.
+void FindShares(const FleetState& state, const TeamId& team, std::vector<Cursor>& cursors,
+                std::vector<Share>& shares) {
+  static const std::map<Incarnation, Allotment> kNone;
+  const auto found = state.allotments.find(team);
+  const auto& held = found == state.allotments.end() ? kNone : found->second;
+  auto allotment = held.begin();
+  shares.clear();
+  for (Cursor& cursor : cursors) {
+    Share share{
+        .incarnation = cursor.incarnation, .known = cursor.known, .applied = cursor.applied};
+    while (allotment != held.end() && allotment->first < *cursor.incarnation) ++allotment;
+    if (allotment != held.end() && allotment->first == *cursor.incarnation) {
+      share.held = allotment->second;
+    }
+    while (cursor.at != cursor.end && cursor.at->first < team) ++cursor.at;
+    if (cursor.at != cursor.end && cursor.at->first == team) {
+      share.use = cursor.at->second;
       share.use.wanted = std::max(share.use.wanted, share.use.running);
     }
     if (share.held.granted == 0 && share.held.target == 0 && share.use.wanted == 0) continue;
     share.target = share.held.target;
     share.granted = share.held.granted;
-    shares.push_back(std::move(share));
+    shares.push_back(share);
   }
-  return shares;
 }
 
-/// Divides `amount` in proportion to what the known nodes want; each that wants something gets at
-/// least one while it lasts.
-std::map<Incarnation, int> Divide(const std::vector<Share>& shares, int amount) {
+/// Divides `amount` in proportion to what the known nodes want; the parts are in the order of the
+/// shares.
+std::vector<int> Divide(const std::vector<Share>& shares, int amount) {
+  std::vector<int> parts(shares.size(), 0);
   std::int64_t wanted = 0;
-  std::map<Incarnation, int> parts;
-  for (const Share& share : shares) {
-    if (!share.known) continue;
-    wanted += share.use.wanted;
-    parts[share.incarnation] = 0;
-  }
+  for (const Share& share : shares) wanted += share.known ? share.use.wanted : 0;
   if (wanted <= 0 || amount <= 0) return parts;
-  int left = amount;
-  for (const Share& share : shares) {
-    if (!share.known) continue;
-    const auto part =
-        static_cast<int>(std::min<std::int64_t>(amount, wanted) * share.use.wanted / wanted);
-    parts[share.incarnation] = part;
-    left -= part;
+  const std::int64_t given = std::min<std::int64_t>(amount, wanted);
+  std::int64_t left = given;
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    if (!shares[i].known) continue;
+    parts[i] = static_cast<int>(given * shares[i].use.wanted / wanted);
+    left -= parts[i];
   }
   // The rest goes one by one to those with the least part of what they want.
-  while (left > 0) {
-    const Share* neediest = nullptr;
-    for (const Share& share : shares) {
-      if (!share.known || parts[share.incarnation] >= share.use.wanted) continue;
-      if (neediest == nullptr ||
-          static_cast<std::int64_t>(parts[share.incarnation]) * neediest->use.wanted <
-              static_cast<std::int64_t>(parts[neediest->incarnation]) * share.use.wanted) {
-        neediest = &share;
-      }
+  for (; left > 0; --left) {
+    std::size_t neediest = shares.size();
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+      if (!shares[i].known || parts[i] >= shares[i].use.wanted) continue;
+      const bool more =
+          neediest == shares.size() || std::int64_t{parts[i]} * shares[neediest].use.wanted <
+                                           std::int64_t{parts[neediest]} * shares[i].use.wanted;
+      if (more) neediest = i;
     }
-    if (neediest == nullptr) break;
-    ++parts[neediest->incarnation];
-    --left;
+    if (neediest == shares.size()) break;
+    ++parts[neediest];
   }
   return parts;
 }
 
 class TeamPlan {
  public:
-  TeamPlan(std::vector<Share> shares, int limit) : shares_(std::move(shares)), limit_(limit) {}
+  TeamPlan(std::vector<Share>& shares, int limit) : shares_(shares), limit_(limit) {}
 
   void Run() {
+    if (IsSettled()) return;
     ConfirmCuts();
     CutToLimit();
     if (IsShort()) CutForOthers();
@@ -106,12 +128,20 @@
       for (const Share& share : shares_) {
         if (share.target == share.held.target && share.granted == share.held.granted) continue;
         if ((share.granted < share.held.granted) != falling) continue;
-        changes.push_back({team, share.incarnation, share.granted, share.target});
+        changes.push_back({team, *share.incarnation, share.granted, share.target});
       }
     }
   }
 
  private:
+  /// Whether every node has what it wants, no cut is under way and the limit is kept.
+  bool IsSettled() const {
+    return Free() >= 0 && std::all_of(shares_.begin(), shares_.end(), [](const Share& share) {
+             return share.granted == share.target &&
+                    (!share.known || share.use.wanted <= share.target);
+           });
+  }
+
   int Free() const {
     int sum = 0;
     for (const Share& share : shares_) sum += share.granted;
@@ -151,32 +181,32 @@
     for (const Share& share : shares_) targets += std::min(share.target, share.granted);
     if (targets <= limit_) return;
     const auto parts = Divide(shares_, Divisible());
-    for (Share& share : shares_) {
-      if (share.known) share.target = std::min(share.target, parts.at(share.incarnation));
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      if (shares_[i].known) shares_[i].target = std::min(shares_[i].target, parts[i]);
     }
   }
 
   void CutForOthers() {
-    const auto parts = Divide(shares_, Divisible());
-    const bool starving = std::any_of(shares_.begin(), shares_.end(), [&](const Share& share) {
-      return share.known && share.target < (parts.at(share.incarnation) + 1) / 2;
-    });
-    for (Share& share : shares_) {
-      if (!share.known) continue;
-      const int part = parts.at(share.incarnation);
+    const std::vector<int> parts = Divide(shares_, Divisible());
+    bool starving = false;
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      starving |= shares_[i].known && shares_[i].target < (parts[i] + 1) / 2;
+    }
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      Share& share = shares_[i];
       const int band = starving ? 0 : std::max(1, share.target / kDeadBandDivisor);
-      if (share.target - part > band) share.target = part;
+      if (share.known && share.target - parts[i] > band) share.target = parts[i];
     }
   }
 
   void Raise() {
-    const auto parts = Divide(shares_, Divisible());
-    for (Share& share : shares_) {
+    const std::vector<int> parts = Divide(shares_, Divisible());
+    for (std::size_t i = 0; i < shares_.size(); ++i) {
+      Share& share = shares_[i];
       if (!share.known || share.target < share.held.target) continue;
       if (share.use.wanted <= std::min(share.granted, share.target)) continue;
-      const int head_room = std::max(1, share.use.wanted / kHeadRoomDivisor);
-      int wish = share.use.wanted + head_room;
-      if (IsShort()) wish = std::min(wish, parts.at(share.incarnation));
+      int wish = share.use.wanted + std::max(1, share.use.wanted / kHeadRoomDivisor);
+      if (IsShort()) wish = std::min(wish, parts[i]);
       // Up to `granted` the target may rise freely; beyond that, as far as the limit allows.
       const int value = std::min(wish, share.granted + std::max(0, Free()));
       if (value <= share.target) continue;
@@ -185,7 +215,7 @@
     }
   }
 
-  std::vector<Share> shares_;
+  std::vector<Share>& shares_;
   int limit_;
 };
 
@@ -193,12 +223,17 @@
 
 void PlanAllotments(const FleetState& state, const FleetView& view, Micros, Plan& plan) {
   std::vector<AllotmentChange> changes;
+  std::vector<Cursor> cursors = CursorsOf(state, view);
+  std::vector<Share> shares;
   const auto add = [&](const TeamId& team, int limit) {
-    TeamPlan team_plan(SharesOf(state, view, team), limit);
+    FindShares(state, team, cursors, shares);
+    TeamPlan team_plan(shares, limit);
     team_plan.Run();
     team_plan.Emit(team, changes);
   };
   for (const auto& [team, config] : state.config.teams) add(team, config.limit);
+  // Teams that are gone give everything back.
+  cursors = CursorsOf(state, view);
   for (const auto& [team, held] : state.allotments) {
     if (state.config.teams.count(team) == 0) add(team, 0);
   }
