--- a/decision/wave_planner.cc
+++ b/decision/wave_planner.cc
@@ -61,9 +61,10 @@
     return node == view_.nodes.end() ? nullptr : &node->second;
   }
 
-  VmUse Use(const VmId& vm) const {
+  const VmUse& Use(const VmId& vm) const {
+    static const VmUse kUnheard;
     const auto it = view_.vms.find(vm);
-    return it == view_.vms.end() ? VmUse{} : it->second;
+    return it == view_.vms.end() ? kUnheard : it->second;
   }
 
   /// For how long `ready` has had its present value.
@@ -78,10 +79,10 @@
   }
 
   void WatchHealth(const VmId& id, const VmRecord& vm) {
-    // Without an owner nobody hears the server, which says nothing about the VM.
-    if (OwnerView(vm.pool) == nullptr) return;
     const bool ready = Use(id).ready;
     if (ready == vm.healthy || Unchanged(id) < (ready ? kBackAfter : kLostAfter)) return;
+    // Without an owner nobody hears the server, which says nothing about the VM.
+    if (OwnerView(vm.pool) == nullptr) return;
     plan_.commands.emplace_back(SetVmHealth{.vm = id, .healthy = ready});
   }
 
@@ -115,7 +116,7 @@
     const PoolOwner& record = state_.owners.at(vm.pool);
     if (owner->applied_index < std::max(operation.phase_index, record.assign_index)) return false;
     if (wall_ - record.assigned < kTakeoverMs) return false;
-    const VmUse use = Use(id);
+    const VmUse& use = Use(id);
     return use.ready ? use.running == 0 : IsGone(id, kDeadAfter);
   }
 
@@ -134,7 +135,7 @@
   }
 
   void StepVerifying(const VmId& id, const VmOperation& operation) {
-    const VmUse use = Use(id);
+    const VmUse& use = Use(id);
     if (use.ready && use.server_incarnation != operation.server_incarnation) {
       Advance(id, operation, VmPhase::kHoldDown);
     } else if (wall_ - operation.phase_since > kVerifyTimeoutMs) {
