--- a/bench/fleet_files.h
+++ b/bench/fleet_files.h
@@ -2,6 +2,7 @@
 #define GODWITPADDLE_BENCH_FLEET_FILES_H_
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "decision/commands.h"
@@ -24,39 +25,36 @@
 /// Configuration files of the fleet: VMs spread evenly over pools and availability zones, one queue
 /// and one wave per pool.
 inline std::map<std::string, std::string> FleetFiles(const FleetSizes& sizes) {
-  std::string pools;
-  std::string vms;
-  std::string teams;
-  const auto separator = [](int i) { return i == 0 ? "" : ",\n"; };
-  std::string queues;
-  std::string waves;
+  nlohmann::json pools;
+  nlohmann::json vms;
+  nlohmann::json teams;
   for (int i = 0; i < sizes.pools; ++i) {
-    const std::string name = "\"p" + std::to_string(i) + "\"";
+    const std::string name = "p" + std::to_string(i);
     const int size = sizes.vms / sizes.pools + (i < sizes.vms % sizes.pools ? 1 : 0);
-    pools += separator(i) + name + ": {\"service\": \"s\", \"min_available\": " +
-             std::to_string(static_cast<int>(size * sizes.min_available)) +
-             ", \"hold_down_s\": " + std::to_string(sizes.hold_down_s) +
-             (i >= sizes.pools - sizes.spare_pools ? ", \"spare\": true}" : "}");
-    queues += separator(i) + name + ": {\"pool\": " + name + "}";
-    waves += separator(i) + name + ": {\"pools\": [" + name + "]}";
+    pools["pools"][name] = {{"service", "s"},
+                            {"min_available", static_cast<int>(size * sizes.min_available)},
+                            {"hold_down_s", sizes.hold_down_s},
+                            {"spare", i >= sizes.pools - sizes.spare_pools}};
+    pools["queues"][name] = {{"pool", name}};
+    pools["waves"][name] = {{"pools", nlohmann::json::array({name})}};
   }
   for (int i = 0; i < sizes.vms; ++i) {
     const int place = i / sizes.pools;  // within the pool
     const int zone = (i % sizes.pools + place / sizes.vms_per_rack) % sizes.zones;
-    const std::string zone_name = "z" + std::to_string(zone);
-    vms += separator(i) + ("\"v" + std::to_string(i)) + R"(": {"pool": "p)" +
-           std::to_string(i % sizes.pools) + R"(", "region": "r)" +
-           std::to_string(zone % sizes.regions) + R"(", "zone": ")" + zone_name +
-           R"(", "rack": ")" + zone_name + "-" + std::to_string(i % sizes.pools) +
-           R"(", "cores": 8, "memory_mb": 16384})";
+    vms["vms"]["v" + std::to_string(i)] = {
+        {"pool", "p" + std::to_string(i % sizes.pools)},
+        {"region", "r" + std::to_string(zone % sizes.regions)},
+        {"zone", "z" + std::to_string(zone)},
+        {"rack", "z" + std::to_string(zone) + "-" + std::to_string(i % sizes.pools)},
+        {"cores", 8},
+        {"memory_mb", 16'384}};
   }
   for (int i = 0; i < sizes.teams; ++i) {
-    teams += separator(i) + ("\"t" + std::to_string(i)) + R"(": {"share": 1, "limit": 60})";
+    teams["teams"]["t" + std::to_string(i)] = {{"share", 1}, {"limit", 60}};
   }
-  return {{"10-pools.json", "{\"pools\": {" + pools + "}, \"queues\": {" + queues +
-                                "}, \"waves\": {" + waves + "}}"},
-          {"20-vms.json", "{\"vms\": {" + vms + "}}"},
-          {"30-teams.json", "{\"teams\": {" + teams + "}}"}};
+  return {{"10-pools.json", pools.dump()},
+          {"20-vms.json", vms.dump()},
+          {"30-teams.json", teams.dump()}};
 }
 
 /// A state with the files in force.
--- a/bench/fleet_model.h
+++ b/bench/fleet_model.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,30 +60,27 @@
 /// The deployment as one configuration file; each pool may miss a quarter of its VMs, and one wave
 /// covers everything.
 inline std::string DeploymentFile(const Deployment& deployment, int max_parallel) {
-  std::string pools;
-  std::string vms;
-  std::string wave;
+  nlohmann::json file;
   int racks = 0;
   for (const auto& [pool, size] : deployment.pools) {
-    const char* separator = pools.empty() ? "" : ",\n";
-    pools += separator + ("\"" + pool) + R"(": {"service": ")" + pool + R"(", "min_available": )" +
-             std::to_string(size - size / 4) +
-             (pool == deployment.spare ? R"(, "spare": true})" : "}");
-    wave += (wave.empty() ? "\"" : ", \"") + pool + "\"";
+    file["pools"][pool] = {
+        {"service", pool}, {"min_available", size - size / 4}, {"spare", pool == deployment.spare}};
+    file["waves"]["all"]["pools"].push_back(pool);
     for (int i = 0; i < size; ++i) {
       if (i % 4 == 0) ++racks;
-      vms += (vms.empty() ? "\"" : ",\n\"") + pool + "-" + std::to_string(i) + R"(": {"pool": ")" +
-             pool + R"(", "zone": "z)" + std::to_string(racks % deployment.zones) +
-             R"(", "rack": "r)" + std::to_string(racks) + "\"}";
+      file["vms"][pool + "-" + std::to_string(i)] = {
+          {"pool", pool},
+          {"zone", "z" + std::to_string(racks % deployment.zones)},
+          {"rack", "r" + std::to_string(racks)}};
     }
   }
+  file["waves"]["all"]["max_parallel"] = max_parallel;
   const PolicyWeights& weights = deployment.weights;
-  return R"({"fleet": {"weights": {"share": )" + std::to_string(weights.share) +
-         R"(, "rollout": )" + std::to_string(weights.rollout) + R"(, "buffer": )" +
-         std::to_string(weights.buffer) + R"(, "moves": )" + std::to_string(weights.moves) +
-         "}},\n\"pools\": {" + pools + "},\n\"vms\": {" + vms +
-         "},\n\"waves\": {\"all\": {\"pools\": [" + wave +
-         "], \"max_parallel\": " + std::to_string(max_parallel) + "}}}";
+  file["fleet"]["weights"] = {{"share", weights.share},
+                              {"rollout", weights.rollout},
+                              {"buffer", weights.buffer},
+                              {"moves", weights.moves}};
+  return file.dump();
 }
 
 /// How long the parts of an operation on one VM take.
--- a/bench/micro_state.cc
+++ b/bench/micro_state.cc
@@ -44,7 +44,7 @@
 
 void BmMerge(benchmark::State& run) {
   const auto files = FleetFiles({});
-  for (auto _ : run) benchmark::DoNotOptimize(MergeConfig(files));
+  while (run.KeepRunning()) benchmark::DoNotOptimize(MergeConfig(files));
 }
 BENCHMARK(BmMerge)->Unit(benchmark::kMillisecond);
 
@@ -52,7 +52,7 @@
   FleetState state = TargetState(430);
   std::uint64_t index = state.applied_index;
   int limit = 60;
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     const std::string id = std::to_string(index);
     const std::string text = R"({"teams": {"t7": {"limit": )" + std::to_string(++limit) + "}}}";
     Apply(state, ++index,
@@ -65,13 +65,13 @@
 void BmApplyHealth(benchmark::State& run) {
   FleetState state = TargetState(430);
   std::uint64_t index = state.applied_index;
-  for (auto _ : run) Apply(state, ++index, {kWall, SetVmHealth{"v7", index % 2 == 0}});
+  while (run.KeepRunning()) Apply(state, ++index, {kWall, SetVmHealth{"v7", index % 2 == 0}});
 }
 BENCHMARK(BmApplyHealth);
 
 void BmFindViolation(benchmark::State& run) {
   const FleetState state = TargetState(430);
-  for (auto _ : run) benchmark::DoNotOptimize(FindViolation(state));
+  while (run.KeepRunning()) benchmark::DoNotOptimize(FindViolation(state));
 }
 BENCHMARK(BmFindViolation)->Unit(benchmark::kMicrosecond);
 
@@ -86,7 +86,7 @@
       Apply(state, state.applied_index + 1, {kWall, std::move(body)});
     }
   }
-  for (auto _ : run) {
+  while (run.KeepRunning()) {
     Plan plan;
     planner(state, view, plan);
     benchmark::DoNotOptimize(plan);
--- a/bench/wave_scenario.h
+++ b/bench/wave_scenario.h
@@ -55,6 +55,9 @@
   return longest;
 }
 
+// A wave that takes longer stands still.
+inline constexpr Micros kDay = 1'440 * kMinute;
+
 inline WaveOutcome RunWave(const Deployment& deployment, std::uint64_t seed, int max_parallel,
                            const FleetModel::Faults& faults) {
   FleetModel model(deployment, seed, max_parallel,
@@ -64,7 +67,7 @@
   model.Propose(ControlWave{"", "all", WaveAction::kStart});
   const Micros start = model.now;
   const WaveRecord& wave = model.state.waves.at("all");
-  while (wave.state != WaveState::kDone && model.now - start < 24 * 60 * kMinute) {
+  while (wave.state != WaveState::kDone && model.now - start < kDay) {
     if (wave.state == WaveState::kPaused) {  // an operator looks and resumes
       ++outcome.pauses;
       model.Propose(ControlWave{"", "all", WaveAction::kResume});
--- a/decision/apply_claims.cc
+++ b/decision/apply_claims.cc
@@ -99,9 +99,8 @@
     // A claim that became unknown when its owner lapsed may still get its true end. A final end
     // stays.
     const ClaimState now = it->second.state;
-    if (now == ClaimState::kRunning ||
-        (now == ClaimState::kUnknown && end.end == ClaimState::kDone))
-      it->second.state = end.end;
+    const bool late_end = now == ClaimState::kUnknown && end.end == ClaimState::kDone;
+    if (now == ClaimState::kRunning || late_end) it->second.state = end.end;
   }
   return {};
 }
--- a/decision/config_check.cc
+++ b/decision/config_check.cc
@@ -37,8 +37,9 @@
       const std::string path = "/queues/" + id;
       Pool(path + "/pool", queue.pool);
       if (queue.open && queue.team.empty()) Add(path, "is open and needs a team to count for");
-      if (queue.open && !queue.teams.empty())
+      if (queue.open && !queue.teams.empty()) {
         Add(path + "/teams", "has no effect on an open queue");
+      }
       if (!queue.team.empty()) Team(path + "/team", queue.team);
       for (const TeamId& team : queue.teams) Team(path + "/teams", team);
     }
--- a/decision/config_diff.cc
+++ b/decision/config_diff.cc
@@ -54,7 +54,8 @@
 void AddDiff(const std::string& path, const json& from, const json& to, std::string& out) {
   if (from == to) return;
   if (!from.is_object() || !to.is_object()) {
-    out += "~ " + path + " " + from.dump() + " -> " + to.dump() + "\n";
+    out.append("~ ").append(path).append(" ").append(from.dump());
+    out.append(" -> ").append(to.dump()).append("\n");
     return;
   }
   json keys = from;
@@ -62,9 +63,9 @@
   for (const auto& [key, unused] : keys.items()) {
     const std::string inner = path + "/" + key;
     if (!to.contains(key)) {
-      out += "- " + inner + " " + from[key].dump() + "\n";
+      out.append("- ").append(inner).append(" ").append(from[key].dump()).append("\n");
     } else if (!from.contains(key)) {
-      out += "+ " + inner + " " + to[key].dump() + "\n";
+      out.append("+ ").append(inner).append(" ").append(to[key].dump()).append("\n");
     } else {
       AddDiff(inner, from[key], to[key], out);
     }
--- a/decision/config_schema.h
+++ b/decision/config_schema.h
@@ -9,7 +9,7 @@
 
 // Bounds keep sums of any section far from overflow.
 inline constexpr std::int64_t kMaxCount = 1'000'000;
-inline constexpr std::int64_t kMaxSeconds = 366 * 24 * 3600;
+inline constexpr std::int64_t kMaxSeconds = 366LL * 24 * 3600;
 inline constexpr std::int64_t kMaxBytes = 1LL << 40U;
 inline constexpr double kMaxWeight = 1e6;
 
--- a/decision/fleet_state.cc
+++ b/decision/fleet_state.cc
@@ -1,7 +1,6 @@
 #include "decision/fleet_state.h"
 
 #include <algorithm>
-#include <string_view>
 
 #include "decision/apply_detail.h"
 
@@ -26,9 +25,7 @@
   return sum;
 }
 
-bool IsRetry(const VmOperation& operation) {
-  return std::string_view(operation.id).ends_with(kRetrySuffix);
-}
+bool IsRetry(const VmOperation& operation) { return operation.id.ends_with(kRetrySuffix); }
 
 std::set<VmId> WaveFailures(const FleetState& state, const WaveId& wave) {
   std::set<VmId> failures;
@@ -74,7 +71,8 @@
   for (const auto& [incarnation, allotment] : held->second) {
     if (allotment.granted < 0 || allotment.target < 0) return "negative allotment of " + team;
     if (state.nodes.count(incarnation) == 0) {
-      return "allotment of " + team + " at the unknown node " + incarnation;
+      std::string text = "allotment of " + team;
+      return text.append(" at the unknown node ").append(incarnation);
     }
   }
   const int sum = GrantedSum(state, team);
