--- a/runtime/frame.cc
+++ b/runtime/frame.cc
@@ -68,7 +68,8 @@
 }
 
 std::optional<std::string_view> FrameReader::Next() {
-  const std::string_view rest = std::string_view(buffer_).substr(start_);
+  const std::string_view all = buffer_;
+  const std::string_view rest = all.substr(start_);
   if (rest.size() < kLengthBytes) return std::nullopt;
   const std::size_t length = GetLength(rest);
   if (length > max_) {
--- a/runtime/http_client.cc
+++ b/runtime/http_client.cc
@@ -15,9 +15,9 @@
 
 // Many HTTP servers close a connection after 5 s without a request. A request that meets this close
 // has an unknown outcome, so connections that were idle for nearly as long are not used again.
-constexpr long kMaxIdleSeconds = 4;
-constexpr long kConnectTimeoutMs = 1'000;
-constexpr long kKeptConnections = 512;
+constexpr auto kMaxIdleSeconds = 4L;
+constexpr auto kConnectTimeoutMs = 1'000L;
+constexpr auto kKeptConnections = 512L;
 constexpr Micros kLongestPoll = 60 * kSecond;
 
 void CheckCurl(bool good, const char* what) {
@@ -26,8 +26,8 @@
 
 /// Keeps the library initialised while the process runs.
 void InitCurl() {
-  static const CURLcode kResult = curl_global_init(CURL_GLOBAL_DEFAULT);
-  CheckCurl(kResult == CURLE_OK, "cannot initialise");
+  static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
+  CheckCurl(result == CURLE_OK, "cannot initialise");
 }
 
 std::string_view Trim(std::string_view text) {
@@ -99,7 +99,8 @@
 void SetHeaders(Running& running) {
   for (const auto& [name, value] : running.transfer.headers) {
     // libcurl writes an empty header only in the form with a semicolon.
-    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    std::string line = name;
+    line.append(value.empty() ? ";" : ": ").append(value);
     running.headers = curl_slist_append(running.headers, line.c_str());
   }
   // Without it libcurl delays large bodies for a consent that few servers give.
@@ -132,7 +133,7 @@
 void Conclude(Running& running, CURLcode code) {
   HttpResult& result = running.result;
   if (code == CURLE_OK) {
-    long status = 0;
+    auto status = 0L;
     curl_easy_getinfo(running.easy, CURLINFO_RESPONSE_CODE, &status);
     result.status = static_cast<int>(status);
     result.end = TransferEnd::kAnswered;
--- a/runtime/http_platform.cc
+++ b/runtime/http_platform.cc
@@ -56,7 +56,8 @@
     HttpTransfer put = Transfer("PUT", call.operation_id);
     put.headers["Content-Type"] = "application/json";
     put.body = body.dump();
-    put.done = [this, operation = call.operation_id, done = std::move(done)](HttpResult result) {
+    put.done = [this, operation = call.operation_id,
+                done = std::move(done)](const HttpResult& result) {
       if (Succeeded(result)) {
         Ask(operation, done);
       } else {
@@ -69,7 +70,7 @@
  private:
   void Ask(const std::string& operation, const Done& done) {
     HttpTransfer get = Transfer("GET", operation);
-    get.done = [operation, done](HttpResult result) { done(ReadState(operation, result)); };
+    get.done = [operation, done](const HttpResult& result) { done(ReadState(operation, result)); };
     client_->mailbox().ForcePush(std::move(get));
   }
 
@@ -84,7 +85,7 @@
   HttpClient* client_;
 };
 
-[[maybe_unused]] const bool kRegistered = PlatformRegistry::Instance().Add(
+[[maybe_unused]] const bool registered = PlatformRegistry::Instance().Add(
     "http", [](const PlatformContext& context) { return std::make_unique<HttpPlatform>(context); });
 
 }  // namespace
--- a/runtime/metrics.cc
+++ b/runtime/metrics.cc
@@ -14,10 +14,11 @@
 namespace godwitpaddle {
 namespace {
 
-// Bounds of histograms in their own unit: 10 steps per decade over 7 decades.
-constexpr int kBins = 70;
-constexpr double kLowest = 0.01;
-constexpr double kHighest = 100'000;
+// Bounds of histograms in their own unit, wide enough for seconds and for milliseconds: 10 steps
+// per decade over 9 decades.
+constexpr int kBins = 90;
+constexpr double kLowest = 1e-4;
+constexpr double kHighest = 1e5;
 
 using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 
--- a/runtime/registry.h
+++ b/runtime/registry.h
@@ -13,7 +13,7 @@
 
 /// Plug-ins of one interface, by name. A plug-in registers itself at static initialisation:
 ///
-///   const bool kRegistered = Registry<Interface, Args...>::Instance().Add("name", factory);
+///   const bool registered = Registry<Interface, Args...>::Instance().Add("name", factory);
 ///
 /// A linker drops an object of a static library that nothing refers to, and its registration with
 /// it. A plug-in in a static library therefore has an empty function that the program calls,
--- /dev/null
+++ b/tests/standins/platform.cc
@@ -0,0 +1,122 @@
+#include "tests/standins/platform.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace godwitpaddle::standins {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMailboxCapacity = 4'096;
+const std::string kOperations = "/operations/";
+
+RespondEffect Plain(int status, const Json& body) {
+  return {.status = status, .body = body.dump() + "\n"};
+}
+
+}  // namespace
+
+Platform::Platform(PlatformOptions options)
+    : Task("platform", kMailboxCapacity), options_(std::move(options)) {
+  client_.Start();
+  server_ = std::make_unique<HttpServer>(HttpServerOptions{.address = options_.address},
+                                         HttpServer::Handlers{.deliver = [this](HttpEvent event) {
+                                           return mailbox().TryPush(std::move(event));
+                                         }});
+}
+
+Platform::~Platform() {
+  server_->Stop(0);
+  Stop();
+  client_.Stop();
+}
+
+void Platform::Handle(HttpEvent request) {
+  RespondEffect response;
+  try {
+    response = Answer(request);
+  } catch (const std::exception& error) {
+    response = Plain(400, {{"error", error.what()}});
+  }
+  response.connection = request.connection;
+  server_->Respond(std::move(response));
+}
+
+RespondEffect Platform::Answer(const HttpEvent& request) {
+  if (request.path == "/control/faults") return SetFaults(request.body);
+  if (unreachable_) return {.status = kCloseWithoutAnswer};
+  if (request.path == "/vms") return ListVms();
+  if (!request.path.starts_with(kOperations)) return Plain(404, {{"error", "no such path"}});
+  const std::string id = request.path.substr(kOperations.size());
+  if (request.method == "PUT") return PutOperation(id, request.body);
+  const auto found = operations_.find(id);
+  if (found == operations_.end()) return Plain(404, {{"error", "no such operation"}});
+  return Plain(200, {{"state", found->second.state}, {"error", found->second.error}});
+}
+
+RespondEffect Platform::ListVms() const {
+  Json list = Json::array();
+  for (const PlatformVm& vm : options_.vms) {
+    list.push_back({{"vm", vm.vm}, {"pool", vm.pool}, {"zone", vm.zone}, {"rack", vm.rack}});
+  }
+  return Plain(200, list);
+}
+
+RespondEffect Platform::PutOperation(const std::string& id, const std::string& body) {
+  const Json json = Json::parse(body);
+  const Operation operation{
+      .vm = json.at("vm"), .action = json.at("action"), .pool = json.value("pool", "")};
+  const auto [found, added] = operations_.emplace(id, operation);
+  if (added) {
+    Begin(id, operation);
+  } else if (found->second.vm != operation.vm || found->second.action != operation.action) {
+    return Plain(409, {{"error", "the id belongs to another operation"}});
+  }
+  return Plain(200, {{"state", found->second.state}});
+}
+
+bool Platform::Fails(const std::string& vm) {
+  if (fail_vms_.contains(vm)) return true;
+  if (fail_next_ == 0) return false;
+  --fail_next_;
+  return true;
+}
+
+void Platform::Begin(const std::string& id, const Operation& operation) {
+  const auto vm = std::ranges::find(options_.vms, operation.vm, &PlatformVm::vm);
+  Operation& kept = operations_.at(id);
+  if (vm == options_.vms.end() || Fails(operation.vm)) {
+    kept.state = "failed";
+    kept.error = vm == options_.vms.end() ? "no such VM" : "failed as told";
+    return;
+  }
+  Json order = {{"vm", operation.vm}, {"action", operation.action}, {"away_ms", options_.away_ms}};
+  if (operation.action == "move") {
+    vm->pool = operation.pool;
+    const auto service = options_.services.find(operation.pool);
+    order["service"] = service == options_.services.end() ? operation.pool : service->second;
+  }
+  if (operation.action != "drain") {
+    for (const std::string& control : options_.controls) {
+      client_.mailbox().Push(
+          {.method = "POST", .url = "http://" + control + "/control/vms", .body = order.dump()});
+    }
+  }
+  timers().At(MonotonicNow() + options_.operation_ms * kMillisecond, [this, id] { Finish(id); });
+}
+
+void Platform::Finish(const std::string& id) { operations_.at(id).state = "done"; }
+
+RespondEffect Platform::SetFaults(const std::string& body) {
+  const Json faults = Json::parse(body);
+  fail_next_ = faults.value("fail_next", fail_next_);
+  unreachable_ = faults.value("unreachable", unreachable_);
+  options_.operation_ms = faults.value("operation_ms", options_.operation_ms);
+  options_.away_ms = faults.value("away_ms", options_.away_ms);
+  if (faults.contains("fail_vms")) fail_vms_ = faults.at("fail_vms").get<std::set<std::string>>();
+  return Plain(200, {{"ok", true}});
+}
+
+}  // namespace godwitpaddle::standins
--- /dev/null
+++ b/tests/standins/standin_platform.cc
@@ -0,0 +1,58 @@
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "tests/standins/backend_spec.h"
+#include "tests/standins/options.h"
+#include "tests/standins/platform.h"
+
+namespace godwitpaddle::standins {
+namespace {
+
+PlatformOptions ReadOptions(const Options& options) {
+  PlatformOptions platform{.address = options.Text("address"),
+                           .controls = options.List("controls"),
+                           .operation_ms = options.Number("operation-ms"),
+                           .away_ms = options.Number("away-ms")};
+  const FleetConfig config = ReadFolderConfig(options.Text("folder"));
+  for (const auto& [name, vm] : config.vms) {
+    platform.vms.push_back({.vm = name, .pool = vm.pool, .zone = vm.zone, .rack = vm.rack});
+  }
+  for (const auto& [name, pool] : config.pools) platform.services[name] = pool.service;
+  return platform;
+}
+
+int Run(int argc, char** argv) {
+  const Options options(argc, argv,
+                        {{"folder", "examples/kite"},
+                         {"address", "127.0.0.1:20998"},
+                         {"controls", "127.0.0.1:20999"},
+                         {"operation-ms", "1000"},
+                         {"away-ms", "500"}},
+                        {{"folder", "configuration folder that names the VMs"},
+                         {"address", "address to listen on"},
+                         {"controls", "control addresses of the stand-in servers, with commas"},
+                         {"operation-ms", "time until an operation is done"},
+                         {"away-ms", "time for which a VM's server is away"}});
+  const FileDescriptor signals = TakeStopSignals();
+  Platform platform(ReadOptions(options));
+  platform.Start();
+  std::puts("ready");
+  std::fflush(stdout);
+  pollfd watched{.fd = signals.get(), .events = POLLIN};
+  while (poll(&watched, 1, -1) < 1) {
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace godwitpaddle::standins
+
+int main(int argc, char** argv) {
+  try {
+    return godwitpaddle::standins::Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s: %s\n", argv[0], error.what());
+    return EXIT_FAILURE;
+  }
+}
