--- a/replication/leader.cc
+++ b/replication/leader.cc
@@ -17,9 +17,10 @@
 
 void Replica::Impl::Heartbeat(const ReplicaId& id, Progress& peer) {
   if (peer.mode == FeedMode::kSnapshot) {
-    Send(id, AppendRequest{.term = term,
-                           .sent = now,
-                           .address = peer.match == 0 ? options.self.address : std::string()});
+    Send(id, peer.address,
+         AppendRequest{.term = term,
+                       .sent = now,
+                       .address = peer.match == 0 ? options.self.address : std::string()});
     // Resends from the last acknowledged chunk once nothing moved for a heartbeat.
     const bool stuck = now - peer.snapshot_progress >= options.heartbeat;
     if (stuck && now - peer.last_heard < options.election_max) {
@@ -49,7 +50,7 @@
     peer.in_flight.push_back(peer.next - 1);
   }
   peer.commit_sent = commit;
-  Send(id, std::move(request));
+  Send(id, peer.address, std::move(request));
 }
 
 void Replica::Impl::Feed(const ReplicaId& id, Progress& peer) {
@@ -75,7 +76,7 @@
     BecomeFollower(reply_term, std::nullopt);
     return nullptr;
   }
-  if (reply_term < term) return nullptr;
+  if (reply_term < term || sent > now) return nullptr;
   Progress& peer = it->second;
   peer.acked_sent = std::max(peer.acked_sent, sent);
   peer.last_heard = now;
@@ -105,11 +106,11 @@
 }
 
 void Replica::Impl::OnRejected(const ReplicaId& from, Progress& peer, const AppendReply& reply) {
-  // Late rejections say nothing new: the logs are known to agree up to `match`, and a probe that
-  // was sent since then has its own answer.
-  if (peer.mode == FeedMode::kSnapshot || reply.match < peer.match) return;
-  if (reply.sent < peer.probe_sent || reply.match + 1 >= peer.next) return;
-  peer.Probe(reply.match + 1);
+  // A hint below `match` skips a whole term of which the first entries agree.
+  const Index next = std::max(reply.match, peer.match) + 1;
+  // Late rejections say nothing new: a probe that was sent since then has its own answer.
+  if (peer.mode == FeedMode::kSnapshot || reply.sent < peer.probe_sent || next >= peer.next) return;
+  peer.Probe(next);
   peer.probe_sent = now;
   SendAppend(from, peer, peer.next - 1);
 }
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -55,14 +55,16 @@
   bool pre_vote = false;
   Index last_index = 0;
   Term last_term = 0;
-  MSGPACK_DEFINE(term, pre_vote, last_index, last_term)
+  std::string address;  // of the candidate, which the voter may not know as a member yet
+  MSGPACK_DEFINE(term, pre_vote, last_index, last_term, address)
 };
 
 struct VoteReply {
   Term term = 0;
   bool pre_vote = false;
   bool granted = false;
-  MSGPACK_DEFINE(term, pre_vote, granted)
+  ReplicaId candidate;  // an address may belong to another replica by now
+  MSGPACK_DEFINE(term, pre_vote, granted, candidate)
 };
 
 /// Also the heartbeat when it carries no entries. `sent` is the leader's clock and comes back in
