--- a/tests/standins/backend_spec.cc
+++ b/tests/standins/backend_spec.cc
@@ -26,7 +26,7 @@
 FleetConfig ReadFolderConfig(const std::string& folder) {
   MergeResult merged = MergeConfig(ReadFolder(folder));
   if (!merged.errors.empty()) {
-    throw std::runtime_error(folder + ": " + merged.errors.front().message);
+    throw std::runtime_error(folder + ": " + merged.errors.front().reason);
   }
   return std::move(merged.config);
 }
