Let diff compare two folders without a daemon address

Cause: the address was required before the arguments were known. Ruled out: nothing else. Conclusion: the client checks the address when it is needed.

--- a/ctl/arguments.cc
+++ b/ctl/arguments.cc
@@ -106,9 +106,6 @@
 void ArgumentParser::FillConnection() {
   if (address_text_.empty()) address_text_ = Environment("GODWITCTL_ADDRESS");
   connection_->addresses = SplitList(address_text_);
-  if (connection_->addresses.empty()) {
-    Fail("no daemon address: set --address or GODWITCTL_ADDRESS");
-  }
   connection_->key = key_file_.empty() ? Environment("GODWITCTL_KEY") : ReadKeyFile(key_file_);
   if (connection_->timeout_s < 1 || connection_->timeout_s > 3600) {
     Fail("--timeout must be 1 to 3600");
--- a/ctl/client.cc
+++ b/ctl/client.cc
@@ -37,6 +37,9 @@
 AdminClient::AdminClient(Settings settings)
     : settings_(std::move(settings)), curl_(curl_easy_init(), curl_easy_cleanup) {
   if (!curl_) throw std::runtime_error("cannot initialise libcurl");
+  if (settings_.addresses.empty()) {
+    throw CommandError(kExitUsage, "no daemon address: set --address or GODWITCTL_ADDRESS");
+  }
 }
 
 Answer AdminClient::Send(const std::string& method, const std::string& path, const Json& body) {
