--- /dev/null
+++ b/tests/e2e/e2e_test.py
@@ -0,0 +1,194 @@
+"""End-to-end scenarios with real processes. Usage: e2e_test.py SCENARIO --daemon .. --ctl .."""
+
+import argparse
+import shutil
+import signal
+import time
+
+from fleet import Fleet, wait_for
+from load import Load, check, new_id, send
+
+FROZEN_S = 8  # longer than the node lease, its margin and the task lease together
+
+
+def whole_path(programs):
+    """Guards against a break anywhere between a configuration folder and an answered request."""
+    with Fleet(programs, 3) as fleet:
+        fleet.form()
+        weavers, dyers = fleet.keys["weavers"], fleet.keys["dyers"]
+        for name, address in fleet.http.items():
+            status, body, _ = send(address, "quotes", weavers, body='{"n": 1}')
+            assert (status, body["body"]) == (200, '{"n": 1}'), (name, status, body)
+            assert send(address, "notices")[0] == 200
+            assert send(address, "quotes")[0] == 401
+            assert send(address, "quotes", "wrong")[0] == 401
+            assert send(address, "batches", weavers)[0] == 403
+            assert send(address, "nothing", weavers)[0] == 404
+            assert send(address, "batches", dyers, new_id("dyers"))[0] == 200
+        id = new_id("weavers")
+        answers = [send(address, "orders", weavers, id) for address in fleet.http.values()]
+        assert [status for status, _, _ in answers].count(200) >= 1, answers
+        assert all(status in (200, 409) for status, _, _ in answers), answers
+        fleet.ctl("approve", "nothing.json", key="customer", code=1)
+        fleet.ctl("apply", fleet.config, "--base", "0")  # nothing to change
+        check_conflict(fleet)
+        check_wave(fleet)
+        fleet.ctl("keys", "withdraw", "weavers-1")
+        for address in fleet.http.values():
+            wait_for("401", lambda: send(address, "quotes", weavers)[0] == 401)
+        assert fleet.ctl("report", "burn") and fleet.ctl("history")["history"]
+        fleet.kill("n3", signal.SIGTERM)
+        assert fleet.processes["n3"].wait(60) == 0
+
+
+def check_conflict(fleet):
+    """An old base revision is refused; a veto leaves what is in force alone."""
+    in_force = fleet.status()["in_force"]
+    with open(f"{fleet.config}/teams.json", "a") as file:
+        file.write("// a comment\n")
+    fleet.ctl("apply", fleet.config, "--base", "0", code=1)
+    fleet.ctl("apply", fleet.config)
+    fleet.ctl("approve", "teams.json", code=1)  # an operator may not
+    fleet.ctl("veto", "teams.json", key="customer")
+    assert fleet.status()["in_force"] == in_force
+
+
+def check_wave(fleet):
+    """A wave reboots every VM while callers are served."""
+    with Load(fleet, 8) as load:
+        load.wait_for_answers(1)
+        fleet.ctl("wave", "start", "all")
+        wait_for("the wave", lambda: fleet.ctl("wave", "status")["all"]["state"] == "done", 180)
+        load.wait_for_answers(1)
+    check(load)
+    ends = {record["end"] for record in fleet.starts()["starts"]}
+    assert not ends & {"cut_off", "lapsed", "stopped"}, ends
+    wave = fleet.ctl("wave", "status")["all"]
+    assert len(wave["done"]) == 8 and not wave["failed"], wave
+
+
+def five_daemons(programs):
+    """Guards against a group of five that does not survive the loss of two voters."""
+    with Fleet(programs, 5) as fleet:
+        fleet.form()
+        with Load(fleet) as load:
+            load.wait_for_answers(2)
+            for name in ("n2", "n4"):
+                fleet.kill(name)
+            load.wait_for_answers(2)
+        check(load)
+
+
+def under_fault(programs, fault, heal=None):
+    """Serves callers before, during and after a fault, then checks every record."""
+    with Fleet(programs, 3) as fleet:
+        fleet.form()
+        revision = fleet.status()["revision"]
+        with Load(fleet) as load:
+            load.wait_for_answers(2)
+            victim = fault(fleet)
+            begin = time.monotonic()
+            load.wait_for_answers(2)
+            if heal:
+                heal(fleet, victim)
+                load.wait_for_answers(2)
+        first = load.first_answer_after(begin)
+        print(f"first call begun after the fault was answered after {first:.2f} s")
+        check(load)
+        fleet.wait_for_voters()
+        assert fleet.status()["revision"] == revision
+        fleet.wait_for_service()
+
+
+def kill_role(role):
+    def fault(fleet):
+        leader = fleet.status()["leader"]
+        others = [name for name in fleet.names if name != leader]
+        victim = leader if role == "leader" else others[0]
+        if role == "gateway":
+            # The owner of a pool is a gateway as well, and has the most to lose.
+            owner = fleet.status()["pools"]["quoting"]["owner"]
+            victim = next(name for name in fleet.names if owner.startswith(name + "-"))
+        fleet.kill(victim)
+        return victim
+    return fault
+
+
+def restart(fleet, victim):
+    fleet.start(victim)
+    wait_for("the restarted node", lambda: any(
+        node["node"] == victim and not node["lapsed"]
+        for node in fleet.status()["nodes"].values()))
+
+
+def killed_leader(programs):
+    """Guards against work that is lost, repeated or not admitted again after the leader's loss."""
+    under_fault(programs, kill_role("leader"), restart)
+
+
+def killed_voter(programs):
+    """Guards against a group that stops when one voter is lost."""
+    under_fault(programs, kill_role("voter"), restart)
+
+
+def killed_gateway(programs):
+    """Guards against requests that a lost pool owner leaves running twice."""
+    under_fault(programs, kill_role("gateway"), restart)
+
+
+def frozen_node(programs):
+    """Guards against a node that goes on from its old leases when it wakes up."""
+    def freeze(fleet):
+        owner = fleet.status()["pools"]["quoting"]["owner"]
+        victim = next(name for name in fleet.names if owner.startswith(name + "-"))
+        fleet.kill(victim, signal.SIGSTOP)
+        time.sleep(FROZEN_S)
+        return victim
+    under_fault(programs, freeze, lambda fleet, victim: fleet.kill(victim, signal.SIGCONT))
+
+
+def lost_data_folder(programs):
+    """Guards against a node that votes under its old identity without its records."""
+    def lose(fleet):
+        victim = kill_role("voter")(fleet)
+        old = fleet.ctl("members")
+        shutil.rmtree(fleet.data(victim))
+        return victim, {id for id, member in old.items() if member["node"] == victim}
+
+    def heal(fleet, lost):
+        victim, old = lost
+        restart(fleet, victim)
+        wait_for("a new replica in the old one's place", lambda: any(
+            node == victim and id not in old for node, id in fleet.voters().items()))
+        assert not old & set(fleet.ctl("members"))
+    under_fault(programs, lose, heal)
+
+
+def disk_full(programs):
+    """Guards against a voter that acknowledges what it could not write."""
+    def fill(fleet):
+        victim = kill_role("voter")(fleet)
+        fleet.start(victim, file_bytes=64 * 1024)
+        assert wait_for("the end of the daemon", lambda: fleet.processes[victim].poll(), 120) != 0
+        with open(f"{fleet.folder}/{victim}.log", errors="replace") as log:
+            assert "storage_failed" in log.read()
+        return victim
+    under_fault(programs, fill, restart)
+
+
+SCENARIOS = [whole_path, five_daemons, killed_leader, killed_voter, killed_gateway, frozen_node,
+             lost_data_folder, disk_full]
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("scenario", choices=[scenario.__name__ for scenario in SCENARIOS])
+    for program in ("daemon", "ctl", "server", "platform"):
+        parser.add_argument(f"--{program}", required=True)
+    arguments = parser.parse_args()
+    globals()[arguments.scenario](arguments)
+    print("passed:", arguments.scenario)
+
+
+if __name__ == "__main__":
+    main()
