Count a new node's time without a grant from its arrival

Cause: the leader counted it from its own election, so that a node which joined or restarted more than 1.5 s after the election lapsed before its first grant, took a new incarnation and lapsed again. Pools changed owners with it. Ruled out: the restart of the log, since the restarted replica followed. Conclusion: the count starts when the leader first sees the incarnation, which can only delay a lapse.

--- a/node/leader.cc
+++ b/node/leader.cc
@@ -66,8 +66,10 @@
   if (!Vouches()) return;
   // A new leader plans only from a state that holds everything earlier leaders committed.
   if (context_.state.applied_index < replica_.commit_index()) return;
+  // The time without a grant counts from when this leader first sees the incarnation: one that
+  // arrives long after the election would lapse before its first grant otherwise.
   for (const auto& [incarnation, record] : context_.state.nodes) {
-    view_.nodes.try_emplace(incarnation, NodeView{.last_granted = view_.leader_since});
+    view_.nodes.try_emplace(incarnation, NodeView{.last_granted = context_.now});
   }
   std::erase_if(view_.nodes,
                 [this](const auto& entry) { return !context_.state.nodes.contains(entry.first); });
--- a/tests/e2e/e2e_test.py
+++ b/tests/e2e/e2e_test.py
@@ -87,13 +87,13 @@
         with Load(fleet) as load:
             load.wait_for_answers(2)
             victim = fault(fleet)
-            begin = time.monotonic()
+            begin = fleet.fault_at
             load.wait_for_answers(2)
             if heal:
                 heal(fleet, victim)
                 load.wait_for_answers(2)
-        first = load.first_answer_after(begin)
-        print(f"first call begun after the fault was answered after {first:.2f} s")
+        admitted = load.admitted_after(begin)
+        print(f"after the fault, work of every kind was answered within {admitted:.2f} s")
         check(load)
         fleet.wait_for_voters()
         assert fleet.status()["revision"] == revision
@@ -101,12 +101,12 @@
 
 
 def kill_role(role):
+    """Kills the leader, another voter, or the gateway that owns a pool."""
     def fault(fleet):
         leader = fleet.status()["leader"]
         others = [name for name in fleet.names if name != leader]
         victim = leader if role == "leader" else others[0]
         if role == "gateway":
-            # The owner of a pool is a gateway as well, and has the most to lose.
             owner = fleet.status()["pools"]["quoting"]["owner"]
             victim = next(name for name in fleet.names if owner.startswith(name + "-"))
         fleet.kill(victim)
--- a/tests/e2e/fleet.py
+++ b/tests/e2e/fleet.py
@@ -74,6 +74,7 @@
         self.first_server = first + 22
         self.processes = {}
         self.keys = {}
+        self.fault_at = 0.0  # when the last signal was sent
         self.config = os.path.join(self.folder, "config")
         os.mkdir(self.config)
         for section, content in CONFIG.items():
@@ -119,6 +120,7 @@
         return os.path.join(self.folder, f"data-{name}")
 
     def kill(self, name, number=signal.SIGKILL):
+        self.fault_at = time.monotonic()
         self.processes[name].send_signal(number)
         if number == signal.SIGKILL:
             self.processes[name].wait()
--- a/tests/e2e/load.py
+++ b/tests/e2e/load.py
@@ -10,7 +10,8 @@
 from fleet import LIMITS, wait_for
 
 ATTEMPTS = 20
-CALL_TIMEOUT_S = 15
+# Short enough that callers do not all wait for a frozen gateway.
+CALL_TIMEOUT_S = 4
 
 
 class Call:
@@ -121,12 +122,12 @@
             return all(seen[kind] >= count for kind in self.KINDS)
         wait_for("answers of every kind", enough, 120)
 
-    def first_answer_after(self, begin):
-        """Seconds from `begin` until a call that was begun later was answered."""
+    def admitted_after(self, begin):
+        """Seconds from `begin` until a call of every kind that was begun later was answered."""
         with self.lock:
-            ends = [call.ended for call in self.calls
-                    if call.started > begin and call.outcome == "answered"]
-        return min(ends) - begin if ends else None
+            return max(min(call.ended for call in self.calls
+                           if (call.queue, call.team) == kind and call.started > begin
+                           and call.outcome == "answered") for kind in self.KINDS) - begin
 
 
 def most_at_once(records, name):
