--- a/tests/replication_soak.cc
+++ b/tests/replication_soak.cc
@@ -187,8 +187,8 @@
         cluster_.Cut(AnyNode(), AnyNode(), cluster_.now() + Within(kSecond));
       }
       const int node = AnyNode();
-      if (node == leader || node == candidate || !cluster_.Up(node) || Below(2) >= restarts)
-        continue;
+      const bool spared = node == leader || node == candidate;
+      if (spared || !cluster_.Up(node) || Below(2) >= restarts) continue;
       cluster_.Crash(node);
       cluster_.Restart(node);
     }
