--- a/replication/storage.cc
+++ b/replication/storage.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <filesystem>
 #include <map>
@@ -78,6 +79,18 @@
   return id;
 }
 
+/// The number in the name of a segment or snapshot file.
+std::uint64_t NumberIn(const std::string& folder, const std::string& name,
+                       std::string_view prefix) {
+  std::uint64_t number = 0;
+  const char* const end = name.data() + name.size();
+  const auto [rest, error] = std::from_chars(name.data() + prefix.size(), end, number);
+  if (error != std::errc() || rest != end) {
+    throw StorageError(folder + "/" + name + ": not a file of this folder");
+  }
+  return number;
+}
+
 struct Segment {
   std::uint64_t number = 0;
   Index max_index = 0;  // highest index that a record in it has
@@ -148,9 +161,9 @@
     if (name.ends_with(kTemporarySuffix)) {
       std::filesystem::remove(file.path(), error);
     } else if (name.starts_with(kSnapshotPrefix)) {
-      snapshots.push_back(std::stoull(name.substr(kSnapshotPrefix.size())));
+      snapshots.push_back(NumberIn(folder, name, kSnapshotPrefix));
     } else if (name.starts_with(kSegmentPrefix)) {
-      segments.push_back({.number = std::stoull(name.substr(kSegmentPrefix.size()))});
+      segments.push_back({.number = NumberIn(folder, name, kSegmentPrefix)});
     }
     has_identity = has_identity || name == kIdentityName;
     has_hard_state = has_hard_state || name == kHardStateName;
--- a/tests/storage_test.cc
+++ b/tests/storage_test.cc
@@ -146,6 +146,12 @@
     CHECK(Reopen(folder.path).log.empty());
   }
 
+  SECTION("a file that only looks like a segment is named") {
+    storage.reset();
+    Overwrite(folder.path + "/log-copy", "");
+    CHECK_THAT(OpenError(folder.path), Contains("log-copy"));
+  }
+
   SECTION("a folder whose identity is gone does not become a new replica") {
     storage.reset();
     fs::remove(folder.path + "/identity");
