--- a/runtime/settings.cc
+++ b/runtime/settings.cc
@@ -134,7 +134,7 @@
   reader.Optional("max_inflight", limits.max_inflight, 1, 1'000'000);
   reader.Optional("max_connections", limits.max_connections, 1, 100'000);
   // A request must fit into one frame between nodes.
-  reader.Optional("max_body_kb", limits.max_body_kb, 1, 15 * 1'024);
+  reader.Optional("max_body_kb", limits.max_body_kb, 1, 15'360);
   reader.Optional("max_buffered_mb", limits.max_buffered_mb, 1, 4'096);
   reader.Optional("answer_cache_mb", limits.answer_cache_mb, 1, 4'096);
   reader.Optional("max_deadline_ms", limits.max_deadline_ms, 1, 86'400'000);
--- a/tests/standins/platform.cc
+++ b/tests/standins/platform.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace godwitpaddle::standins {
@@ -10,7 +11,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMailboxCapacity = 4'096;
-const std::string kOperations = "/operations/";
+constexpr std::string_view kOperations = "/operations/";
 
 RespondEffect Plain(int status, const Json& body) {
   return {.status = status, .body = body.dump() + "\n"};
