--- /dev/null
+++ b/tests/runtime_support.h
@@ -0,0 +1,66 @@
+#ifndef GODWITPADDLE_TESTS_RUNTIME_SUPPORT_H_
+#define GODWITPADDLE_TESTS_RUNTIME_SUPPORT_H_
+
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "runtime/address.h"
+#include "runtime/file_descriptor.h"
+
+namespace godwitpaddle::testing {
+
+// Only a hang reaches it.
+inline constexpr auto kFailAfter = std::chrono::seconds(60);
+
+/// A list that other threads fill and the test waits for.
+template <typename T>
+class Inbox {
+ public:
+  void Add(T value) {
+    const std::lock_guard lock(mutex_);
+    values_.push_back(std::move(value));
+    changed_.notify_all();
+  }
+  T Next() {
+    std::unique_lock lock(mutex_);
+    if (!changed_.wait_for(lock, kFailAfter, [this] { return !values_.empty(); })) {
+      throw std::runtime_error("nothing arrived");
+    }
+    T value = std::move(values_.front());
+    values_.pop_front();
+    return value;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<T> values_;
+};
+
+inline std::string Local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+inline FileDescriptor ConnectTo(std::uint16_t port) {
+  const SocketAddress address = ParseAddress(Local(port));
+  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  REQUIRE(connect(socket.get(), address.get(), address.length) == 0);
+  return socket;
+}
+
+inline void SendAll(const FileDescriptor& socket, std::string_view bytes) {
+  REQUIRE(send(socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(bytes.size()));
+}
+
+}  // namespace godwitpaddle::testing
+
+#endif  // GODWITPADDLE_TESTS_RUNTIME_SUPPORT_H_
