Run every operator command in the end-to-end scenario

Cause: drains, waves under control, keys of each role and the offline commands had no run from outside. Ruled out: nothing else.

--- a/ctl/wave_commands.cc
+++ b/ctl/wave_commands.cc
@@ -72,7 +72,8 @@
   ArgumentParser parser("godwitctl wave status", "[WAVE]");
   parser.AddFlag("follow", "show progress until the wave ends or pauses", follow);
   parser.AddConnection(settings);
-  const auto wanted = parser.Parse(argc, argv, follow ? 1 : 0, 1);
+  const auto wanted = parser.Parse(argc, argv, 0, 1);
+  if (follow && wanted.empty()) throw CommandError(kExitUsage, "--follow needs a wave");
   AdminClient client(settings);
   Json waves = client.Call("GET", "waves").at("waves");
   if (!wanted.empty()) {
--- a/tests/e2e/e2e_test.py
+++ b/tests/e2e/e2e_test.py
@@ -33,6 +33,7 @@
         fleet.ctl("apply", fleet.config, "--base", "0")  # nothing to change
         check_conflict(fleet)
         check_wave(fleet)
+        check_operator_commands(fleet)
         fleet.ctl("keys", "withdraw", "weavers-1")
         for address in fleet.http.values():
             wait_for("401", lambda: send(address, "quotes", weavers)[0] == 401)
@@ -67,6 +68,32 @@
     assert len(wave["done"]) == 8 and not wave["failed"], wave
 
 
+def check_operator_commands(fleet):
+    """Drains, controls of waves and keys of each role, with the refusals of each."""
+    fleet.ctl("drain", "q0", "--follow")
+    assert fleet.status()["vms"]["q0"]["operation"]["phase"] == "drained"
+    fleet.ctl("drain", "q0", code=1)
+    fleet.ctl("undrain", "q0")
+    fleet.ctl("undrain", "q0", code=1)
+    fleet.wait_for_service()
+    fleet.ctl("wave", "pause", "all", code=1)
+    fleet.ctl("wave", "start", "all")
+    fleet.ctl("wave", "pause", "all", "--reason", "a test")
+    assert fleet.ctl("wave", "status", "all")["all"]["reason"] == "a test"
+    fleet.ctl("wave", "resume", "all")
+    fleet.ctl("wave", "cancel", "all")
+    fleet.ctl("wave", "start", "nothing", code=1)
+    fleet.ctl("keys", "grant", "operator-2", "--role", "operator")
+    fleet.ctl("keys", "grant", "customer-2", "--role", "customer", code=1)
+    fleet.ctl("keys", "grant", "customer-2", "--role", "customer", key="customer")
+    assert len(fleet.ctl("keys", "list")["keys"]) == 6
+    fleet.ctl("keys", "grant", "nobody", code=2)
+    assert fleet.ctl("diff", fleet.config) == {"changed": False, "diff": ""}
+    assert fleet.ctl("validate", fleet.config)["ok"]
+    fleet.ctl("review", "--content")
+    fleet.ctl("wave", "status", "--follow", code=2)
+
+
 def five_daemons(programs):
     """Guards against a group of five that does not survive the loss of two voters."""
     with Fleet(programs, 5) as fleet:
--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -67,13 +67,13 @@
 echo "== keys grant: a key for the team tunis-weavers"
 key=$(ctl keys grant weavers-1 --team tunis-weavers)
 
-echo "== waiting until the backend servers have announced themselves"
+echo "== waiting until every VM counts as available"
 for _ in $(seq 300); do
   ctl status --json >"$folder/status"
   python3 - "$folder/status" <<'PYTHON' && break
 import json, sys
 pools = json.load(open(sys.argv[1]))["pools"].values()
-sys.exit(not all(pool.get("ready_slots", 0) == 8 * pool["vms"] for pool in pools))
+sys.exit(not all(pool["available"] == pool["vms"] and pool.get("ready_slots") for pool in pools))
 PYTHON
   sleep 0.2
 done
