--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -39,24 +39,71 @@
 }  // namespace
 
 bool HasQueueRoom(const QueueRoom& room) {
-  if (room.bound <= 0) return false;
+  if (room.queued >= room.bound) return false;
   if (room.team_queued < room.guaranteed) return true;
-  const int lendable = room.bound / 2;
-  return room.lent < lendable && room.lent_to_team < (lendable + 1) / 2;
+  const double lendable = kLentPart * room.bound;
+  return room.lent < lendable && room.lent_to_team < kLentToOne * lendable;
 }
 
-Micros EstimatedWait(const SchedulerState& state, const TeamLine& team, const OrderKey& key) {
+bool MayDisplace(const QueueRoom& room) {
+  return room.urgent && room.urgent_queued < room.urgent_places;
+}
+
+QueueRoom RoomFor(const SchedulerState& state, const RequestState& request) {
+  const TeamLine& team = state.teams[request.team];
+  return {.bound = state.options.config.max_queue,
+          .queued = state.queued,
+          .urgent = request.request.priority == Priority::kUrgent,
+          .urgent_places = team.urgent_places,
+          .urgent_queued = team.urgent_queued,
+          .guaranteed = team.guaranteed,
+          .team_queued = team.queued,
+          .lent = state.lent_places,
+          .lent_to_team = std::max(0, team.queued - team.guaranteed)};
+}
+
+bool DisplaceOne(SchedulerState& state) {
+  const TeamLine* most = nullptr;
+  for (const TeamLine& team : state.teams) {
+    if (team.queued <= team.guaranteed) continue;
+    if (most == nullptr || team.queued - team.guaranteed > most->queued - most->guaranteed) {
+      most = &team;
+    }
+  }
+  if (most == nullptr) return false;
+  constexpr auto kNormal = static_cast<std::size_t>(Priority::kNormal);
+  for (const OrderedRequests* line : {&most->held[kNormal], &most->ready[kNormal]}) {
+    if (line->empty()) continue;
+    const auto victim = state.requests.find(line->rbegin()->id);
+    // A claimed or once started request keeps its place.
+    if (victim->second.starts > 0 || victim->second.claimed) continue;
+    state.displaced.push_back(Refuse(victim->second, RefusalReason::kQueueFull,
+                                     "an urgent request took the place in the queue",
+                                     kShortestRetry));
+    Dequeue(state, victim->second);
+    state.requests.erase(victim);
+    return true;
+  }
+  return false;
+}
+
+Micros EstimatedWait(const SchedulerState& state, const RequestState& request) {
+  const TeamLine& team = state.teams[request.team];
   const int free = state.servers.index.free_slots;
-  const double work = WorkAhead(team, key);
+  if (free > state.queued) return 0;
   double weights = team.weight;
   double used = 0;
   for (const TeamLine& other : state.teams) {
     used += other.units;
     if (&other != &team && (other.queued > 0 || other.units > 0)) weights += other.weight;
   }
-  if (free > state.queued) return 0;
-  const double part = weights > 0 ? (used + free) * team.weight / weights : 0;
+  // Urgent requests take the first slots that come free in the whole pool.
+  const bool urgent = request.request.priority == Priority::kUrgent &&
+                      UrgentRoom(team, LagHorizon(state.mean_run_s)) >= 1;
+  const double part =
+      urgent ? used + free : (weights > 0 ? (used + free) * team.weight / weights : 0);
   const double slots = std::max({part, team.entitled, 0.1});
+  const double work = WorkAhead(team, request.request.priority, request.key);
   return static_cast<Micros>(work / slots * kSecond);
 }
 
@@ -75,13 +122,9 @@
     return Refuse(request, RefusalReason::kNoCapacity, "no server of the pool is ready",
                   kServerSilence);
   }
-  const QueueRoom room{.bound = state.options.config.max_queue,
-                       .guaranteed = team.guaranteed,
-                       .team_queued = team.queued,
-                       .lent = state.lent_places,
-                       .lent_to_team = std::max(0, team.queued - team.guaranteed)};
-  const Micros wait = EstimatedWait(state, team, request.key);
-  if (!HasQueueRoom(room)) {
+  const QueueRoom room = RoomFor(state, request);
+  const Micros wait = EstimatedWait(state, request);
+  if (!HasQueueRoom(room) && !MayDisplace(room)) {
     return Refuse(request, RefusalReason::kQueueFull, "the team's part of the queue is full",
                   std::max<Micros>(wait, kShortestRetry));
   }
--- a/node/context.cc
+++ b/node/context.cc
@@ -35,12 +35,15 @@
   return incarnation;
 }
 
+std::string NodeAddress(const FleetState& state, const Incarnation& incarnation) {
+  const auto node = state.nodes.find(incarnation);
+  return node == state.nodes.end() || node->second.lapsed ? std::string()
+                                                          : node->second.peer_address;
+}
+
 std::string OwnerAddress(const FleetState& state, const PoolId& pool) {
   const auto owner = state.owners.find(pool);
-  if (owner == state.owners.end()) return {};
-  const auto node = state.nodes.find(owner->second.owner);
-  if (node == state.nodes.end() || node->second.lapsed) return {};
-  return node->second.peer_address;
+  return owner == state.owners.end() ? std::string() : NodeAddress(state, owner->second.owner);
 }
 
 RespondEffect RefuseHttp(std::uint64_t connection, int status, const ForwardRefusal& refusal) {
--- a/node/gateway.h
+++ b/node/gateway.h
@@ -57,6 +57,7 @@
                                      const QueueConfig& config);
   bool ReadyForWork(const HttpEvent& request);
   void Start(Attempt attempt);
+  Incarnation TargetOf(const Attempt& attempt) const;
   void SendAttempt(const std::string& id, Attempt& attempt);
   void Expire(const std::string& id, Attempt& attempt);
   void Finish(const std::string& id, const Attempt& attempt, RespondEffect response,
--- a/node/leader.cc
+++ b/node/leader.cc
@@ -33,6 +33,7 @@
   lapsing_.clear();
   arriving_.clear();
   platform_calls_.clear();
+  seen_nodes_ = false;
   BuildSchedules();
   context_.Log(Severity::kInfo, leading ? "leader_elected" : "leader_lost",
                {{"term", std::to_string(replica_.term())}});
@@ -66,11 +67,13 @@
   if (!Vouches()) return;
   // A new leader plans only from a state that holds everything earlier leaders committed.
   if (context_.state.applied_index < replica_.commit_index()) return;
-  // The time without a grant counts from when this leader first sees the incarnation: one that
-  // arrives long after the election would lapse before its first grant otherwise.
+  // Nodes of an earlier leader may hold a lease since its last grant; a node that arrived later has
+  // just asked.
+  const Micros granted = seen_nodes_ ? context_.now : view_.leader_since;
   for (const auto& [incarnation, record] : context_.state.nodes) {
-    view_.nodes.try_emplace(incarnation, NodeView{.last_granted = context_.now});
+    view_.nodes.try_emplace(incarnation, NodeView{.last_granted = granted});
   }
+  seen_nodes_ = true;
   std::erase_if(view_.nodes,
                 [this](const auto& entry) { return !context_.state.nodes.contains(entry.first); });
   SampleBurn(burn_, levels_, context_.now);
--- a/node/leader.h
+++ b/node/leader.h
@@ -65,6 +65,7 @@
   const replication::Replica& replica_;
   Append append_;
   bool leading_ = false;
+  bool seen_nodes_ = false;
   FleetView view_;
   MoveMemory moves_;
   BurnHistory burn_;
--- a/node/owner.cc
+++ b/node/owner.cc
@@ -212,13 +212,19 @@
 
 SchedulerOptions Owner::OptionsOf(const PoolId& pool) const {
   const FleetConfig& config = context_.state.config;
-  SchedulerOptions options{
-      .pool = pool, .config = {}, .teams = config.teams, .weights = config.fleet.weights};
+  SchedulerOptions options{.pool = pool,
+                           .config = {},
+                           .teams = config.teams,
+                           .weights = config.fleet.weights,
+                           .task_prefix = context_.incarnation + "-"};
   if (const auto found = config.pools.find(pool); found != config.pools.end())
     options.config = found->second;
   for (const auto& [name, queue] : config.queues) {
     if (queue.pool == pool) options.queues.emplace(name, queue);
   }
+  for (const auto& [vm, shape] : config.vms) {
+    if (shape.pool == pool) options.shapes.push_back(shape);
+  }
   return options;
 }
 
@@ -398,7 +404,7 @@
 void Owner::Start(Pool& pool, const Placement& placement) {
   Request& request = requests_.at(placement.id);
   request.state = RequestState::kRunning;
-  request.task_id = context_.UniqueId();
+  request.task_id = placement.task_id;
   request.epoch = pool.epoch;
   request.server = placement.server;
   request.address = placement.address;
@@ -497,6 +503,7 @@
 }
 
 void Owner::Refuse(Request& request, const Refusal& refusal) {
+  request.may_have_run |= refusal.may_have_run;
   if (request.claimed)
     EndClaim(request, request.may_have_run ? ClaimState::kUnknown : ClaimState::kNotRun);
   const std::string& message =
