--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -38,15 +38,17 @@
 int Run(int argc, const char** argv) {
   const std::string first = argc > 1 ? argv[1] : "";
   const std::string second = argc > 2 ? argv[2] : "";
+  const std::string both = first + " " + second;
+  const std::string group = first + " ";
   bool is_group = false;
   for (const Command& command : AllCommands()) {
     const std::string name = command.name;
     if (name == first) return command.run(argc - 2, argv + 2);
-    if (name == first + " " + second) return command.run(argc - 3, argv + 3);
-    is_group = is_group || (!first.empty() && name.starts_with(first + " "));
+    if (name == both) return command.run(argc - 3, argv + 3);
+    is_group = is_group || (!first.empty() && name.starts_with(group));
   }
   const bool help = first == "--help" || (is_group && second == "--help");
-  PrintUsage(help ? std::cout : std::cerr, is_group ? first + " " : "");
+  PrintUsage(help ? std::cout : std::cerr, is_group ? group : "");
   return help ? kExitOk : kExitUsage;
 }
 
--- a/ctl/vm_commands.cc
+++ b/ctl/vm_commands.cc
@@ -15,6 +15,7 @@
 
 // Waits until the running work of a VM that is being drained has ended.
 void FollowDrain(AdminClient& client, const std::string& vm) {
+  const std::string prefix = vm + " ";
   std::string reported;
   while (reported != "drained") {
     const Json vms = client.Call("GET", "status").at("vms");
@@ -22,7 +23,7 @@
       throw CommandError(kExitRefused, "the drain of " + vm + " was ended");
     }
     const auto phase = vms.at(vm).at("operation").at("phase").get<std::string>();
-    if (phase != reported) PrintProgress(vm + " " + phase);
+    if (phase != reported) PrintProgress(prefix + phase);
     reported = phase;
     std::this_thread::sleep_for(kPollPause);
   }
--- a/ctl/wave_commands.cc
+++ b/ctl/wave_commands.cc
@@ -26,11 +26,12 @@
 
 // Reports each change of the wave until it is no longer running.
 int FollowWave(AdminClient& client, const std::string& id) {
+  const std::string prefix = id + " ";
   std::string reported;
   while (true) {
     const Json wave = client.Call("GET", "waves").at("waves").at(id);
     const std::string text = DescribeWave(wave);
-    if (text != reported) PrintProgress(id + " " + text);
+    if (text != reported) PrintProgress(prefix + text);
     reported = text;
     if (wave.at("state") == "done") return kExitOk;
     if (wave.at("state") != "running") return kExitRefused;
