Answer late copies alike, order announcements, bound planned stops

(1) Several VMs of a pool were stopped at once, since VMs taken for lost did not count against the budget. (2) A team ran more than its allotment: the leader took the applied index of a renewal whose report it had not recorded, and confirmed a cut with it. (3) A refusal said "not run" while another copy of the request was admitted later. (4) A leaving server got work after an older announcement had arrived late. (5) A freed incarnation was never told that it lapsed. Ruled out: replication; the invariants of the applied state held in all runs. Conclusion: copies carry numbers, announcements carry sequence numbers, a report and its index are recorded together, and stops are bounded by count.

--- a/decision/apply_vms.cc
+++ b/decision/apply_vms.cc
@@ -99,6 +99,10 @@
       AvailableVms(state, vm->pool) < MinAvailable(state, vm->pool)) {
     return Refuse(ResultCode::kConflict, "the pool is below its availability budget");
   }
+  // Also VMs that are taken for lost: while the owner does not hear them they may be serving.
+  if (body.to == VmPhase::kStopping && !MayStopOneMore(state, vm->pool)) {
+    return Refuse(ResultCode::kConflict, "too many VMs of the pool are stopped already");
+  }
   operation.phase = body.to;
   operation.phase_since = at.now;
   operation.phase_index = at.index;
--- a/decision/fleet_state.cc
+++ b/decision/fleet_state.cc
@@ -9,6 +9,20 @@
   return queue + ":" + request_id;
 }
 
+bool MayStopOneMore(const FleetState& state, const PoolId& pool) {
+  const auto config = state.config.pools.find(pool);
+  if (config == state.config.pools.end()) return true;
+  int size = 0;
+  int stopped = 0;
+  for (const auto& [id, vm] : state.vms) {
+    if (vm.pool != pool) continue;
+    ++size;
+    const bool in_service = !vm.operation || vm.operation->phase == VmPhase::kDraining;
+    if (!in_service) ++stopped;
+  }
+  return size - stopped - 1 >= config->second.min_available;
+}
+
 int AvailableVms(const FleetState& state, const PoolId& pool) {
   return static_cast<int>(
       std::count_if(state.vms.begin(), state.vms.end(), [&pool](const auto& entry) {
--- a/decision/fleet_state.h
+++ b/decision/fleet_state.h
@@ -211,6 +211,10 @@
 /// Returns the claim key of a request.
 std::string ClaimKey(const QueueId& queue, const std::string& request_id);
 
+/// Whether planned work may stop another VM of the pool, healthy or not: the VMs that it stopped
+/// and that do not count yet, and one more, leave at least min_available.
+bool MayStopOneMore(const FleetState& state, const PoolId& pool);
+
 /// VMs of the pool that count for its availability budget: healthy and without an operation.
 int AvailableVms(const FleetState& state, const PoolId& pool);
 
--- a/decision/pool_scheduler.h
+++ b/decision/pool_scheduler.h
@@ -58,6 +58,7 @@
 struct Announcement {
   ServerId server;
   std::string incarnation;
+  std::uint64_t sequence = 0;  // grows with each announcement of the incarnation; 0 if not told
   VmId vm;
   std::string rack;
   std::string zone;
@@ -70,8 +71,8 @@
   int accelerators = 0;
   ServerState state = ServerState::kReady;
   std::vector<RunningTask> tasks;
-  MSGPACK_DEFINE(server, incarnation, vm, rack, zone, service, address, slots, connections, cores,
-                 memory_mb, accelerators, state, tasks)
+  MSGPACK_DEFINE(server, incarnation, sequence, vm, rack, zone, service, address, slots,
+                 connections, cores, memory_mb, accelerators, state, tasks)
 };
 
 enum class RefusalReason : std::uint8_t {
--- a/decision/wave_planner.cc
+++ b/decision/wave_planner.cc
@@ -130,6 +130,7 @@
       return;
     }
     if (!IsIdle(id, vm, operation)) return;
+    if (!by_hand && !MayStopOneMore(state_, vm.pool)) return;
     Advance(id, operation, by_hand ? VmPhase::kDrained : VmPhase::kStopping, "",
             Use(id).server_incarnation);
   }
--- a/node/answer_cache.cc
+++ b/node/answer_cache.cc
@@ -25,6 +25,14 @@
   }
 }
 
+void AnswerCache::Replace(const std::string& key, const ForwardAnswer& answer) {
+  const auto kept = answers_.find(key);
+  if (kept == answers_.end()) return Put(key, answer);
+  bytes_ -= Cost(key, kept->second);
+  kept->second = answer;
+  bytes_ += Cost(key, answer);
+}
+
 const ForwardAnswer* AnswerCache::Find(const std::string& key) const {
   const auto found = answers_.find(key);
   return found == answers_.end() ? nullptr : &found->second;
--- a/node/answer_cache.h
+++ b/node/answer_cache.h
@@ -17,6 +17,8 @@
 
   /// Keeps the first answer under a key.
   void Put(const std::string& key, const ForwardAnswer& answer);
+  /// Keeps this answer under the key in place of an earlier one.
+  void Replace(const std::string& key, const ForwardAnswer& answer);
   /// Returns nullptr when there is none (any more).
   const ForwardAnswer* Find(const std::string& key) const;
   std::size_t bytes() const { return bytes_; }
--- a/node/gateway.cc
+++ b/node/gateway.cc
@@ -210,7 +210,7 @@
 /// An owner that may hold the request and has not lapsed keeps it, also after its pool moved on:
 /// the new owner could only answer that the request runs elsewhere.
 Incarnation Gateway::TargetOf(const Attempt& attempt) const {
-  for (const Incarnation& former : attempt.unresolved) {
+  for (const auto& [former, copy] : attempt.unresolved) {
     const auto node = context_.state.nodes.find(former);
     if (node != context_.state.nodes.end() && !node->second.lapsed) return former;
   }
@@ -229,7 +229,7 @@
   switch (attempt.kind) {
     case Kind::kRequest:
       attempt.sent_to = target;
-      attempt.unresolved.insert(attempt.sent_to);
+      attempt.unresolved[attempt.sent_to] = ++forward.copy;
       forward.remaining_ms = std::max<Micros>(1, (attempt.deadline - context_.now) / kMillisecond);
       context_.Send(address, forward);
       break;
@@ -270,7 +270,11 @@
   const auto found = attempts_.find(answer.attempt);
   if (found == attempts_.end()) return;
   Attempt& attempt = found->second;
-  attempt.unresolved.erase(answer.owner);
+  const auto sent = attempt.unresolved.find(answer.owner);
+  const bool latest = sent == attempt.unresolved.end() || sent->second <= answer.copy;
+  // A later copy to the same owner is still on its way and may be admitted there.
+  if (answer.again && !latest) return;
+  if (sent != attempt.unresolved.end()) attempt.unresolved.erase(sent);
   attempt.may_have_run |= answer.may_have_run;
   if (answer.again) {
     if (attempt.sent_to == answer.owner) {
--- a/node/gateway.h
+++ b/node/gateway.h
@@ -45,7 +45,8 @@
     Micros deadline = 0;
     Micros next_send = 0;
     Incarnation sent_to;
-    std::set<Incarnation> unresolved;  // owners that may still hold or have run it
+    // Owners that may still hold or have run it, with the last copy sent to each.
+    std::map<Incarnation, std::uint64_t> unresolved;
     bool may_have_run = false;
   };
 
--- a/node/http_input.cc
+++ b/node/http_input.cc
@@ -106,6 +106,7 @@
     Announcement announcement{
         .server = ReadName(json, "server"),
         .incarnation = ReadName(json, "incarnation"),
+        .sequence = json.value("sequence", std::uint64_t{0}),
         .vm = ReadName(json, "vm"),
         .rack = json.value("rack", ""),
         .zone = json.value("zone", ""),
--- a/node/leader.cc
+++ b/node/leader.cc
@@ -100,6 +100,9 @@
   if (!Vouches()) return grant;
   const auto node = context_.state.nodes.find(renew.incarnation);
   if (node == context_.state.nodes.end()) {
+    const auto& freed = context_.state.freed;
+    grant.lapsed = std::find(freed.begin(), freed.end(), renew.incarnation) != freed.end();
+    if (grant.lapsed) return grant;
     if (arriving_.insert(renew.incarnation).second) {
       AppendBody(NodeUp{.incarnation = renew.incarnation, .record = renew.record});
     }
@@ -113,7 +116,6 @@
   grant.wants_full = !renew.report.full && !bases_[renew.incarnation].full;
   NodeView& view = view_.nodes[renew.incarnation];
   view.last_granted = context_.now;
-  view.applied_index = std::max(view.applied_index, renew.applied_index);
   view.draining = renew.report.draining;
   if (!grant.wants_full) Record(renew);
   return grant;
@@ -128,6 +130,9 @@
   if (renew.seq <= base.seq) return;  // overtaken by a later report
   base = {.full = true, .seq = renew.seq};
   NodeView& view = view_.nodes[renew.incarnation];
+  // What is reported as running was counted at this index; a cut may only be confirmed by both
+  // together.
+  view.applied_index = std::max(view.applied_index, renew.applied_index);
   for (const auto& [team, use] : renew.report.teams) view.teams[team] = use;
   for (const auto& [queue, counts] : renew.report.levels)
     levels_[renew.incarnation][queue] = counts;
--- a/node/lease.cc
+++ b/node/lease.cc
@@ -68,6 +68,7 @@
   } else {
     acknowledged_ = std::max(acknowledged_, grant.seq);
   }
+  if (waiting_.size() >= kMaxOutstanding) waiting_.pop_front();
   waiting_.push_back({.commit_index = grant.commit_index, .until = until});
   OnApplied();
   return false;
--- a/node/messages.h
+++ b/node/messages.h
@@ -66,6 +66,7 @@
 /// call.
 struct Forward {
   std::string attempt;
+  std::uint64_t copy = 0;  // grows with each sending of the attempt
   std::string gateway_address;
   QueueId queue;
   TeamId team;
@@ -76,8 +77,8 @@
   bool asynchronous = false;
   std::map<std::string, std::string> headers;  // handed on to the backend server
   std::string body;
-  MSGPACK_DEFINE(attempt, gateway_address, queue, team, request_id, priority, size, remaining_ms,
-                 asynchronous, headers, body)
+  MSGPACK_DEFINE(attempt, copy, gateway_address, queue, team, request_id, priority, size,
+                 remaining_ms, asynchronous, headers, body)
 };
 
 /// Why a request was not answered by a backend server.
@@ -92,6 +93,7 @@
 /// The end of an attempt at one owner. `again` asks the gateway to forward to the current owner.
 struct ForwardAnswer {
   std::string attempt;
+  std::uint64_t copy = 0;  // the latest copy that this answers
   Incarnation owner;
   bool again = false;
   bool may_have_run = false;  // with `again` and refusals: an earlier place may have run it
@@ -99,7 +101,7 @@
   std::string content_type;
   std::string body;
   std::optional<ForwardRefusal> refusal;
-  MSGPACK_DEFINE(attempt, owner, again, may_have_run, status, content_type, body, refusal)
+  MSGPACK_DEFINE(attempt, copy, owner, again, may_have_run, status, content_type, body, refusal)
 };
 
 /// The owner holds the attempt; the gateway need not repeat it so soon.
--- a/node/owner.cc
+++ b/node/owner.cc
@@ -54,24 +54,42 @@
 
 void Owner::Reply(const Forward& forward, ForwardAnswer answer) {
   answer.attempt = forward.attempt;
+  answer.copy = forward.copy;
   answer.owner = context_.incarnation;
   context_.Send(forward.gateway_address, std::move(answer));
 }
 
-void Owner::OnForward(const Forward& forward) {
-  if (by_attempt_.contains(forward.attempt)) {
-    context_.Send(forward.gateway_address, ForwardAccepted{.attempt = forward.attempt});
-    return;
-  }
+void Owner::ReplyOnce(const Forward& forward, ForwardAnswer answer) {
+  answer.copy = forward.copy;
+  refusals_.Replace(forward.attempt, answer);
+  Reply(forward, std::move(answer));
+}
+
+bool Owner::IsAnsweredCopy(const Forward& forward) {
   if (const ForwardAnswer* answer = answers_.Find(forward.attempt)) {
     Reply(forward, *answer);
+    return true;
+  }
+  const ForwardAnswer* refusal = refusals_.Find(forward.attempt);
+  // The gateway sends another copy only after it saw that the last one came back.
+  if (refusal == nullptr || (refusal->again && forward.copy > refusal->copy)) return false;
+  Reply(forward, *refusal);
+  return true;
+}
+
+void Owner::OnForward(const Forward& forward) {
+  if (const auto active = by_attempt_.find(forward.attempt); active != by_attempt_.end()) {
+    Request& request = requests_.at(active->second);
+    request.forward.copy = std::max(request.forward.copy, forward.copy);
+    context_.Send(forward.gateway_address, ForwardAccepted{.attempt = forward.attempt});
     return;
   }
+  if (IsAnsweredCopy(forward)) return;
   const auto queue = context_.state.config.queues.find(forward.queue);
   const auto pool =
       queue == context_.state.config.queues.end() ? pools_.end() : pools_.find(queue->second.pool);
   if (!context_.HoldsLease() || pool == pools_.end()) {
-    Reply(forward, {.again = true});
+    ReplyOnce(forward, {.again = true});
     return;
   }
   if (AnswerKnown(forward, queue->second)) return;
@@ -87,10 +105,10 @@
                              .deadline = deadline,
                              .idempotent = queue->second.idempotent};
   if (const auto refusal = pool->second->scheduler.Admit(queued, context_.now)) {
-    Reply(forward, RefusalAnswer(
-                       std::string(NameOf(kRefusalReasonNames, refusal->reason)),
-                       refusal->message.empty() ? Messages().at(refusal->reason) : refusal->message,
-                       true, refusal->retry_after));
+    ReplyOnce(forward, RefusalAnswer(std::string(NameOf(kRefusalReasonNames, refusal->reason)),
+                                     refusal->message.empty() ? Messages().at(refusal->reason)
+                                                              : refusal->message,
+                                     true, refusal->retry_after));
     return;
   }
   requests_[id] = Request{.id = id,
@@ -300,7 +318,7 @@
 void Owner::SendBack(Request& request) {
   if (request.claimed)
     EndClaim(request, request.may_have_run ? ClaimState::kUnknown : ClaimState::kNotRun);
-  Reply(request.forward, {.again = true, .may_have_run = request.may_have_run});
+  ReplyOnce(request.forward, {.again = true, .may_have_run = request.may_have_run});
   Erase(request.id);
 }
 
@@ -613,6 +631,20 @@
 
 // ---- backend servers ----
 
+bool Owner::IsOutdated(const Announcement& announcement) {
+  AnnouncementOrder& order = announced_[announcement.server];
+  if (announcement.incarnation == order.former) return true;
+  if (announcement.incarnation != order.incarnation) {
+    order = {.incarnation = announcement.incarnation,
+             .former = order.incarnation,
+             .sequence = announcement.sequence};
+    return false;
+  }
+  if (announcement.sequence < order.sequence) return true;
+  order.sequence = announcement.sequence;
+  return false;
+}
+
 void Owner::OnAnnounce(const AnnounceRelay& relay) {
   const Announcement& announcement = relay.announcement;
   AnnounceReply reply{.relay = relay.relay};
@@ -622,6 +654,8 @@
     reply.error = "this entry VM does not own the pool; announce again";
   } else if (context_.state.config.pools[pool->first].service != announcement.service) {
     reply.error = "the pool " + pool->first + " runs another service";
+  } else if (IsOutdated(announcement)) {
+    reply.error = "a newer announcement was received before this one";
   } else {
     pool->second->scheduler.Announce(announcement, context_.now);
     DropLingering(announcement);
--- a/node/owner.h
+++ b/node/owner.h
@@ -23,7 +23,10 @@
 class Owner {
  public:
   explicit Owner(NodeContext& context)
-      : context_(context), claims_(context), answers_(context.options.answer_cache_bytes) {}
+      : context_(context),
+        claims_(context),
+        answers_(context.options.answer_cache_bytes),
+        refusals_(kRefusalBytes) {}
 
   void OnForward(const Forward& forward);
   void OnCancel(const ForwardCancel& cancel);
@@ -51,6 +54,13 @@
   void CheckInvariants() const;
 
  private:
+  static constexpr std::size_t kRefusalBytes = 4U << 20U;
+  /// The newest announcement of a server; older ones that a gateway held back are ignored.
+  struct AnnouncementOrder {
+    std::string incarnation;
+    std::string former;
+    std::uint64_t sequence = 0;
+  };
   enum class RequestState : std::uint8_t { kQueued, kClaiming, kRunning };
   struct Request {
     RequestId id = 0;
@@ -105,6 +115,11 @@
   std::map<TeamId, TeamUse> TeamUses() const;
   void Linger(const Request& request);
   void EndLingering(std::map<std::string, Lingering>::iterator task);
+  bool IsOutdated(const Announcement& announcement);
+  /// Replies and remembers it, so that a late copy of the attempt gets the same answer.
+  void ReplyOnce(const Forward& forward, ForwardAnswer answer);
+  /// Repeats the answer that an earlier copy of the attempt got; false if there is none.
+  bool IsAnsweredCopy(const Forward& forward);
   void DropLingering(const Announcement& announcement);
   std::vector<std::string> RenewedTasks(const Announcement& announcement);
   Pool* FindPool(const PoolId& pool, const Request& request);
@@ -116,6 +131,8 @@
   NodeContext& context_;
   ClaimWriter claims_;
   AnswerCache answers_;
+  AnswerCache refusals_;  // by attempt: a late copy must get the same answer, not be admitted
+  std::map<ServerId, AnnouncementOrder> announced_;
   std::map<PoolId, std::unique_ptr<Pool>> pools_;
   std::vector<std::unique_ptr<Pool>> released_;  // former pools with running work
   std::unordered_map<RequestId, Request> requests_;
--- a/tests/fake_backend.cc
+++ b/tests/fake_backend.cc
@@ -47,6 +47,7 @@
     tasks.push_back({{"id", id}, {"cores", 1}, {"memory_mb", 100}});
   const nlohmann::json body = {{"server", vm},
                                {"incarnation", vm + "-" + std::to_string(server.boot)},
+                               {"sequence", round},
                                {"vm", vm},
                                {"rack", server.rack},
                                {"zone", server.zone},
