--- a/decision/allotment_planner.cc
+++ b/decision/allotment_planner.cc
@@ -37,13 +37,13 @@
 };
 
 std::vector<Cursor> CursorsOf(const FleetState& state, const FleetView& view) {
-  static const std::map<TeamId, TeamUse> kNoTeams;
+  static const std::map<TeamId, TeamUse> no_teams;
   std::vector<Cursor> cursors;
   for (const auto& [incarnation, node] : state.nodes) {
     const auto seen = view.nodes.find(incarnation);
     // A node that applied nothing has not reported: its use is not zero but unknown.
     const bool known = !node.lapsed && seen != view.nodes.end() && seen->second.applied_index > 0;
-    const auto& teams = known ? seen->second.teams : kNoTeams;
+    const auto& teams = known ? seen->second.teams : no_teams;
     cursors.push_back({.incarnation = &incarnation,
                        .known = known,
                        .applied = known ? seen->second.applied_index : 0,
@@ -56,9 +56,9 @@
 /// Shares of the team; teams must be asked for in order of their names.
 void FindShares(const FleetState& state, const TeamId& team, std::vector<Cursor>& cursors,
                 std::vector<Share>& shares) {
-  static const std::map<Incarnation, Allotment> kNone;
+  static const std::map<Incarnation, Allotment> none;
   const auto found = state.allotments.find(team);
-  const auto& held = found == state.allotments.end() ? kNone : found->second;
+  const auto& held = found == state.allotments.end() ? none : found->second;
   auto allotment = held.begin();
   shares.clear();
   for (Cursor& cursor : cursors) {
@@ -160,8 +160,8 @@
   bool IsShort() const {
     int lacking = 0;
     for (const Share& share : shares_) {
-      if (share.known)
-        lacking += std::max(0, share.use.wanted - std::min(share.granted, share.target));
+      const int most = std::min(share.granted, share.target);
+      if (share.known) lacking += std::max(0, share.use.wanted - most);
     }
     return lacking > std::max(0, Free());
   }
--- a/decision/config_diff.cc
+++ b/decision/config_diff.cc
@@ -61,7 +61,8 @@
   json keys = from;
   keys.update(to);
   for (const auto& [key, unused] : keys.items()) {
-    const std::string inner = path + "/" + key;
+    std::string inner = path;
+    inner.append("/").append(key);
     if (!to.contains(key)) {
       out.append("- ").append(inner).append(" ").append(from[key].dump()).append("\n");
     } else if (!from.contains(key)) {
--- a/decision/wave_planner.cc
+++ b/decision/wave_planner.cc
@@ -62,9 +62,9 @@
   }
 
   const VmUse& Use(const VmId& vm) const {
-    static const VmUse kUnheard;
+    static const VmUse unheard;
     const auto it = view_.vms.find(vm);
-    return it == view_.vms.end() ? kUnheard : it->second;
+    return it == view_.vms.end() ? unheard : it->second;
   }
 
   /// For how long `ready` has had its present value.
@@ -209,8 +209,8 @@
     int open = 0;
     for (const VmId& vm : wave.remaining) {
       const auto it = state_.vms.find(vm);
-      if (it != state_.vms.end() && it->second.operation && it->second.operation->wave == id)
-        ++open;
+      if (it == state_.vms.end() || !it->second.operation) continue;
+      if (it->second.operation->wave == id) ++open;
     }
     const int max_parallel = config->second.max_parallel;
     for (const VmId& vm : Order(wave)) {
@@ -237,6 +237,7 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<VmId> vms;
+    vms.reserve(order.size());
     for (auto& entry : order) vms.push_back(std::move(std::get<4>(entry)));
     return vms;
   }
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -10,7 +10,7 @@
 
 using Files = std::map<std::string, std::string>;
 
-const Files kFleet = {{"10-pools.json", R"({
+const Files base_files = {{"10-pools.json", R"({
   // one service, two VMs
   "pools": {"quoting": {"service": "quoting", "min_available": 1}},
   "vms": {
@@ -18,11 +18,11 @@
     "q2": {"pool": "quoting", "zone": "b", "rack": "b1", "cores": 8}
   }
 })"},
-                      {"20-teams.json", R"({"teams": {"dyers": {"share": 2, "limit": 40}},
+                          {"20-teams.json", R"({"teams": {"dyers": {"share": 2, "limit": 40}},
  "queues": {"quotes": {"pool": "quoting", "teams": ["dyers"]}}})"}};
 
 Files With(const std::string& name, const std::string& text) {
-  Files files = kFleet;
+  Files files = base_files;
   files[name] = text;
   return files;
 }
@@ -35,7 +35,7 @@
 }
 
 TEST_CASE("configuration files are merged") {
-  const MergeResult base = MergeConfig(kFleet);
+  const MergeResult base = MergeConfig(base_files);
   REQUIRE(base.ok());
   CHECK(base.config.pools.at("quoting").min_available == 1);
   CHECK(base.config.vms.at("q1").cores == 8);
--- a/tests/fleet_state_test.cc
+++ b/tests/fleet_state_test.cc
@@ -11,7 +11,7 @@
 
 constexpr WallMs kStart = 1'764'812'520'000;
 
-const char* const kBase = R"({
+constexpr const char* kBase = R"({
   "fleet": {"max_claims": 3, "claim_retention_s": 60},
   "pools": {"quoting": {"service": "quoting", "min_available": 1},
             "notice": {"service": "notice", "spare": true}},
--- a/tests/planner_world.h
+++ b/tests/planner_world.h
@@ -73,7 +73,7 @@
   }
 
   Incarnation AddNode(const NodeId& node) {
-    const Incarnation incarnation = node + "-" + std::to_string(++lives_);
+    Incarnation incarnation = node + "-" + std::to_string(++lives_);
     SimNode& sim = this->nodes[incarnation];
     sim.record = {.node = node};
     sim.next_report = now;
@@ -84,7 +84,7 @@
     const FleetState before_counters{.revision = state.revision, .in_force = state.in_force};
     const bool starts = std::holds_alternative<StartVmOperation>(body);
     log.push_back({wall(), std::move(body)});
-    const ApplyResult result = Apply(state, log.size(), log.back());
+    ApplyResult result = Apply(state, log.size(), log.back());
     const auto violation = FindViolation(state);
     if (violation) FAIL(*violation);
     REQUIRE(state.in_force >= before_counters.in_force);
--- a/tests/planners_random_test.cc
+++ b/tests/planners_random_test.cc
@@ -7,7 +7,7 @@
 namespace godwitpaddle {
 namespace {
 
-const char* const kConfig = R"({
+constexpr const char* kConfig = R"({
   "pools": {"quoting": {"service": "quoting", "min_available": 3, "hold_down_s": 5},
             "dyeing": {"service": "dyeing", "min_available": 2, "hold_down_s": 5,
                        "one_zone_at_a_time": false},
--- a/tests/planners_test.cc
+++ b/tests/planners_test.cc
@@ -18,8 +18,9 @@
             R"(": {"service": "s", "min_available": 2, "hold_down_s": 5, "slots_per_vm": 8)" +
             (i == 1 ? ", \"spare\": true}" : "}");
     for (int j = 0; j < 4; ++j) {
-      vms += (vms.empty() ? "\"" : ", \"") + pool + "v" + std::to_string(j) + R"(": {"pool": ")" +
-             pool + R"(", "zone": ")" + (j < 2 ? "a" : "b") + R"("})";
+      vms.append(vms.empty() ? "\"" : ", \"").append(pool).append("v" + std::to_string(j));
+      vms.append(R"(": {"pool": ")").append(pool);
+      vms.append(R"(", "zone": ")").append(j < 2 ? "a" : "b").append(R"("})");
     }
   }
   return text + "}, \"vms\": {" + vms + "}" + more + "}";
