Wait for the present owner when a former one refuses late

A frozen former owner had the request in its queue, woke up and refused it for its deadline; the gateway took that for the answer although the present owner had the request. Ruled out: claims; the request was claimed and started once. Conclusion: a late "not run" of a former owner only settles that owner.

--- a/node/gateway.cc
+++ b/node/gateway.cc
@@ -32,13 +32,13 @@
 }
 
 int StatusOf(const ForwardRefusal& refusal) {
-  static const std::map<std::string, int> kStatus = {
+  static const std::map<std::string, int> status_by_error = {
       {"queue_full", 429},  {"over_limit", 429},  {"running", 409},
       {"answer_gone", 409}, {"unknown", 504},     {"failed", 502},
       {"not_found", 404},   {"bad_request", 400}, {"id_expired", 400},
   };
-  const auto status = kStatus.find(refusal.error);
-  return status == kStatus.end() ? 503 : status->second;
+  const auto status = status_by_error.find(refusal.error);
+  return status == status_by_error.end() ? 503 : status->second;
 }
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
@@ -139,8 +139,9 @@
   }
 
   const std::string id = HeaderOf(request, "idempotency-key");
-  if (id.empty() && !settings.idempotent)
+  if (id.empty() && !settings.idempotent) {
     throw InputError("queue " + queue + " needs the header Idempotency-Key");
+  }
   if (!id.empty()) {
     const WallMs made = RequestIdTime(id);
     const WallMs retention = context_.state.config.fleet.claim_retention_s * 1000;
@@ -166,8 +167,9 @@
   forward.priority = ReadPriority(request);
   forward.size = ReadTaskSize(request);
   forward.asynchronous = HeaderOf(request, "prefer") == "respond-async";
-  if (forward.asynchronous && id.empty())
+  if (forward.asynchronous && id.empty()) {
     throw InputError("respond-async needs the header Idempotency-Key");
+  }
   forward.headers["X-Request-Id"] = id.empty() ? forward.attempt : id;
   const std::string content_type = HeaderOf(request, "content-type");
   if (!content_type.empty()) forward.headers["Content-Type"] = content_type;
@@ -283,6 +285,11 @@
     }
     return;
   }
+  // A former owner that refuses late says nothing about the owner that has the request now.
+  const bool not_run = answer.refusal && answer.refusal->not_run && !answer.may_have_run;
+  if (not_run && answer.owner != attempt.sent_to && attempt.unresolved.contains(attempt.sent_to)) {
+    return;
+  }
   RespondEffect response;
   ServiceOutcome outcome = ServiceOutcome::kInTime;
   if (answer.refusal) {
--- a/node/http_input.cc
+++ b/node/http_input.cc
@@ -27,7 +27,7 @@
 }
 
 std::string ReadName(const nlohmann::json& object, const char* key) {
-  const auto text = object.at(key).get<std::string>();
+  auto text = object.at(key).get<std::string>();
   if (text.empty() || text.size() > kMaxName) {
     throw InputError(std::string(key) + " must have 1 to " + std::to_string(kMaxName) +
                      " characters");
--- a/node/leader.cc
+++ b/node/leader.cc
@@ -78,8 +78,9 @@
                 [this](const auto& entry) { return !context_.state.nodes.contains(entry.first); });
   SampleBurn(burn_, levels_, context_.now);
   for (Schedule& schedule : schedules_) {
-    if (context_.now < schedule.next || context_.state.applied_index < schedule.settles_at)
+    if (context_.now < schedule.next || context_.state.applied_index < schedule.settles_at) {
       continue;
+    }
     schedule.next = context_.now + schedule.period;
     Plan plan;
     schedule.run(plan);
@@ -134,8 +135,9 @@
   // together.
   view.applied_index = std::max(view.applied_index, renew.applied_index);
   for (const auto& [team, use] : renew.report.teams) view.teams[team] = use;
-  for (const auto& [queue, counts] : renew.report.levels)
+  for (const auto& [queue, counts] : renew.report.levels) {
     levels_[renew.incarnation][queue] = counts;
+  }
   const auto owns = [this, &renew](const PoolId& pool) {
     const auto owner = context_.state.owners.find(pool);
     return owner != context_.state.owners.end() && owner->second.owner == renew.incarnation;
@@ -199,8 +201,9 @@
   platform_calls_.erase(event.operation_id);
   for (const auto& [id, vm] : context_.state.vms) {
     if (!vm.operation || vm.operation->id != event.operation_id ||
-        vm.operation->phase != VmPhase::kStopping)
+        vm.operation->phase != VmPhase::kStopping) {
       continue;
+    }
     const bool done = event.state == PlatformState::kDone;
     AppendBody(AdvanceVmOperation{.vm = id,
                                   .operation_id = event.operation_id,
--- a/node/node.cc
+++ b/node/node.cc
@@ -37,8 +37,8 @@
   std::size_t next_seed = 0;
   bool exited = false;
 
-  Impl(NodeOptions options, replication::ReplicaId id, replication::StoredState stored, Micros now,
-       WallMs wall)
+  Impl(NodeOptions options, const replication::ReplicaId& id, replication::StoredState stored,
+       Micros now, WallMs wall)
       : context(MakeContext(std::move(options), now, wall)),
         replica_id(id),
         replica(ReplicaSettings(context.options, id), std::move(stored), now),
@@ -129,7 +129,7 @@
       const auto command = Decode<Command>(entry.payload);
       const ApplyResult result = Apply(context.state, entry.index, command);
       context.state.applied_index = entry.index;
-      AssertState();
+      AssertState(command);
       owner.OnApplied(command, result);
       leader.OnApplied(entry.index, result);
     }
@@ -137,9 +137,11 @@
     lease.OnApplied();
   }
 
-  void AssertState() const {
+  void AssertState(const Command& command) const {
     if (!context.options.assert_invariants) return;
-    if (const auto violation = FindViolation(context.state)) throw InvariantViolation(*violation);
+    if (const auto violation = FindViolationAfter(context.state, command)) {
+      throw InvariantViolation(*violation);
+    }
   }
 
   void Compact() {
--- a/node/owner.cc
+++ b/node/owner.cc
@@ -17,7 +17,7 @@
 constexpr Micros kTakeoverGrace = 5 * kSecond;
 
 const std::map<RefusalReason, std::string>& Messages() {
-  static const std::map<RefusalReason, std::string> kMessages = {
+  static const std::map<RefusalReason, std::string> messages = {
       {RefusalReason::kQueueFull, "the queue is full"},
       {RefusalReason::kNoCapacity, "no backend server is ready"},
       {RefusalReason::kTooLate, "the deadline cannot be met"},
@@ -27,7 +27,7 @@
       {RefusalReason::kCancelled, "the request was cancelled before it started"},
       {RefusalReason::kReleased, "the pool changes its owner"},
   };
-  return kMessages;
+  return messages;
 }
 
 ForwardAnswer RefusalAnswer(std::string error, std::string message, bool not_run,
@@ -189,8 +189,9 @@
   const auto found =
       index.find(by_attempt ? cancel.attempt : ClaimKey(cancel.queue, cancel.request_id));
   if (found == index.end()) {
-    if (!by_attempt)
+    if (!by_attempt) {
       Reply(reply_to, RefusalAnswer("not_found", "no such request is queued or running", false));
+    }
     return;
   }
   Request& request = requests_.at(found->second);
@@ -235,8 +236,9 @@
                            .teams = config.teams,
                            .weights = config.fleet.weights,
                            .task_prefix = context_.incarnation + "-"};
-  if (const auto found = config.pools.find(pool); found != config.pools.end())
+  if (const auto found = config.pools.find(pool); found != config.pools.end()) {
     options.config = found->second;
+  }
   for (const auto& [name, queue] : config.queues) {
     if (queue.pool == pool) options.queues.emplace(name, queue);
   }
@@ -257,8 +259,9 @@
   }
   // A VM that has not announced itself yet must not be used either once it does.
   for (const auto& [id, vm] : context_.state.vms) {
-    if (vm.pool == pool.id && vm.operation && vm.operation->phase != VmPhase::kHoldDown)
+    if (vm.pool == pool.id && vm.operation && vm.operation->phase != VmPhase::kHoldDown) {
       blocked.insert(id);
+    }
   }
   return blocked;
 }
@@ -307,8 +310,9 @@
   pool->scheduler.ReleaseQueued();
   std::vector<RequestId> queued;
   for (const auto& [id, request] : requests_) {
-    if (request.pool == pool->id && request.state != RequestState::kRunning && !request.detached)
+    if (request.pool == pool->id && request.state != RequestState::kRunning && !request.detached) {
       queued.push_back(id);
+    }
   }
   std::sort(queued.begin(), queued.end());
   for (const RequestId id : queued) SendBack(requests_.at(id));
@@ -316,8 +320,9 @@
 }
 
 void Owner::SendBack(Request& request) {
-  if (request.claimed)
+  if (request.claimed) {
     EndClaim(request, request.may_have_run ? ClaimState::kUnknown : ClaimState::kNotRun);
+  }
   ReplyOnce(request.forward, {.again = true, .may_have_run = request.may_have_run});
   Erase(request.id);
 }
@@ -389,8 +394,9 @@
         running == running_.end() ? 0 : running->second - pool.scheduler.RunningOf(team);
     return std::max(0, Cap(team) - elsewhere);
   };
-  for (const Placement& placement : pool.scheduler.Dispatch(cap, context_.now))
+  for (const Placement& placement : pool.scheduler.Dispatch(cap, context_.now)) {
     Start(pool, placement);
+  }
   for (const TaskOrder& order : pool.scheduler.TakeOrders(context_.now)) {
     const auto request = requests_.find(order.id);
     if (request == requests_.end() || request->second.task_id.empty()) continue;
@@ -410,12 +416,12 @@
     if (request.state == RequestState::kClaiming) continue;
     request.state = RequestState::kClaiming;
     const std::string& scoped = request.forward.request_id;
-    const WallMs made = RequestIdTime(std::string_view(scoped).substr(scoped.find('/') + 1));
+    const std::string unscoped = scoped.substr(scoped.find('/') + 1);
     claims_.Claim(pool.id, pool.epoch,
                   {.queue = request.forward.queue,
                    .request_id = scoped,
                    .attempt = request.forward.attempt,
-                   .made = made});
+                   .made = RequestIdTime(unscoped)});
   }
 }
 
@@ -522,8 +528,9 @@
 
 void Owner::Refuse(Request& request, const Refusal& refusal) {
   request.may_have_run |= refusal.may_have_run;
-  if (request.claimed)
+  if (request.claimed) {
     EndClaim(request, request.may_have_run ? ClaimState::kUnknown : ClaimState::kNotRun);
+  }
   const std::string& message =
       refusal.message.empty() ? Messages().at(refusal.reason) : refusal.message;
   Answer(request, RefusalAnswer(std::string(NameOf(kRefusalReasonNames, refusal.reason)), message,
@@ -682,8 +689,9 @@
 
 bool Owner::IsRenewed(const std::string& task_id) const {
   if (lingering_.contains(task_id)) return false;
-  if (const auto own = by_task_.find(task_id); own != by_task_.end())
+  if (const auto own = by_task_.find(task_id); own != by_task_.end()) {
     return !requests_.at(own->second).detached;
+  }
   const Incarnation incarnation = task_id.substr(0, task_id.rfind('-'));
   if (incarnation == context_.incarnation) return false;  // its end is already known
   const auto node = context_.state.nodes.find(incarnation);
@@ -777,8 +785,9 @@
 void Owner::CheckInvariants() const {
   std::map<TeamId, int> counted;
   for (const auto& [id, request] : requests_) {
-    if (request.state == RequestState::kRunning && !request.detached)
+    if (request.state == RequestState::kRunning && !request.detached) {
       ++counted[request.forward.team];
+    }
   }
   for (const auto& [id, task] : lingering_) ++counted[task.team];
   for (const auto& [team, running] : running_) {
