Count a checkpointed attempt as one that may have run

Ruled out: copies of the request and former owners; one owner did it all. Conclusion: only an attempt of which no byte was sent leaves a request "not run".

--- a/node/owner.cc
+++ b/node/owner.cc
@@ -461,7 +461,8 @@
 }
 
 void Owner::FinishTask(Request& request, const TaskEvent& event, TaskEnd end) {
-  if (end == TaskEnd::kBroken || end == TaskEnd::kServerFailed) request.may_have_run = true;
+  // A checkpointed task has run in part.
+  if (end != TaskEnd::kNotSent) request.may_have_run = true;
   Pool* pool = FindPool(request.pool, request);
   if (!request.detached) {
     if (end == TaskEnd::kBroken) {
--- a/tests/soak_run.cc
+++ b/tests/soak_run.cc
@@ -419,7 +419,10 @@
   /// itself.
   void LoseDisk() {
     const std::size_t node = Below(options_.disks);
-    if (!AllVotersLive() || cluster_.now() < next_disk_loss_) return;
+    if (!AllVotersLive() || cluster_.now() < next_disk_loss_) {
+      --totals_.faults["lose_disk"];
+      return;
+    }
     next_disk_loss_ = cluster_.now() + 40 * kSecond;
     cluster_.Kill(node);
     cluster_.LoseDisk(node);
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -29,7 +29,7 @@
     }
   }
   END {
-    for (i = 1; i <= count; i++) printf "%s%s=%d", i > 1 ? " " : "", order[i], sum[order[i]]
+    for (i = 1; i <= count; i++) printf "%s%s=%d", (i > 1 ? " " : ""), order[i], sum[order[i]]
     print ""
     exit sum["violations"] > 0 || sum["seeds"] == 0
   }'
