--- a/node/node.cc
+++ b/node/node.cc
@@ -37,11 +37,11 @@
   std::size_t next_seed = 0;
   bool exited = false;
 
-  Impl(NodeOptions options, const replication::ReplicaId& id, replication::StoredState stored,
-       Micros now, WallMs wall)
+  Impl(NodeOptions options, replication::ReplicaId id, replication::StoredState stored, Micros now,
+       WallMs wall)
       : context(MakeContext(std::move(options), now, wall)),
-        replica_id(id),
-        replica(ReplicaSettings(context.options, id), std::move(stored), now),
+        replica_id(std::move(id)),
+        replica(ReplicaSettings(context.options, replica_id), std::move(stored), now),
         lease(context),
         gateway(context),
         owner(context),
