Format the capacity benchmark

Cause: an automatic fix of the linter left two lines that the formatter wants otherwise. Conclusion: run the formatter after the linter's own fixes.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -56,7 +56,7 @@
   }
   for (int i = 0; i < size.teams; ++i) {
     teams["team-" + std::to_string(i)] = {{"share", 1 + i % 7}, {"limit", 64}};
-}
+  }
   return {{"00-fleet.json", nlohmann::json{{"fleet", {{"name", "capacity"}}}}.dump()},
           {"10-pools.json", nlohmann::json{{"pools", pools}, {"queues", queues}}.dump()},
           {"20-vms.json", nlohmann::json{{"vms", vms}}.dump()},
@@ -104,7 +104,7 @@
   if (load.requests_per_s > 0) {
     for (int i = 0; i < size.teams; i += 10) {
       keys.push_back(admin.GrantTeamKey("team-" + std::to_string(i)));
-}
+    }
   }
   if (load.announcements) {
     for (int i = 0; i < size.workers; ++i) {
