Let an idle node exit when no other takes its pools

Cause: the quick start did not end within 60 s: three daemons that shut down at once each waited for another to take their pools. Ruled out: running requests; all were answered and every node was idle. Conclusion: a drained node waits at most 5 s for the handover of its pools.

--- a/node/node.cc
+++ b/node/node.cc
@@ -19,6 +19,8 @@
 // to join again.
 constexpr Micros kRejoinAfter = 3 * kSecond;
 constexpr Micros kShutdownPoll = 100 * kMillisecond;
+// When all nodes shut down at once, no other takes the pools; an idle owner then exits with them.
+constexpr Micros kHandoverWait = 5 * kSecond;
 
 }  // namespace
 
@@ -228,6 +230,7 @@
   void Handle(const ShutdownEvent&) {
     if (context.draining) return;
     context.draining = true;
+    draining_since = context.now;
     lease.Hurry();
     context.Log(Severity::kInfo, "draining", {});
   }
@@ -324,7 +327,8 @@
         context.state.nodes.begin(), context.state.nodes.end(), [this](const auto& entry) {
           return entry.first != context.incarnation && !entry.second.lapsed;
         });
-    const bool pools_left = owner.owns_pools() && others && context.HoldsLease();
+    const bool waits = context.now - draining_since < kHandoverWait;
+    const bool pools_left = owner.owns_pools() && others && context.HoldsLease() && waits;
     if (pools_left || !gateway.Idle() || !owner.Idle() || !admin.Idle()) return;
     exited = true;
     context.effects.emplace_back(ExitEffect{.status = 0, .reason = "drained"});
@@ -335,6 +339,7 @@
   std::optional<replication::Snapshot> install;
   bool wants_snapshot = false;
   Micros next_exit_check = 0;
+  Micros draining_since = 0;
 };
 
 Node::Node(NodeOptions options, replication::ReplicaId replica, replication::StoredState stored,
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -257,6 +257,14 @@
     CHECK(f.backend.violations().empty());
   }
 
+  SECTION("exits even when all nodes shut down at once and none can take the pools") {
+    std::vector<std::uint64_t> lives;
+    for (std::size_t i = 0; i < 3; ++i) lives.push_back(f.cluster.life(i));
+    for (std::size_t i = 0; i < 3; ++i) f.cluster.Shutdown(i);
+    f.cluster.RunFor(20 * kSecond);
+    for (std::size_t i = 0; i < 3; ++i) CHECK(f.cluster.life(i) > lives[i]);
+  }
+
   SECTION("that shuts down gracefully cuts off no request") {
     const auto& state = f.cluster.node(0).state();
     const std::size_t index = state.nodes.at(state.owners.at("web").owner).node[1] - '1';
