--- /dev/null
+++ b/control/core_node.cc
@@ -0,0 +1,271 @@
+#include "control/core_node.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+constexpr std::uint32_t kGroup = 0;
+constexpr Micros kJoinPeriod = 300 * kMillisecond;
+constexpr Micros kRejoinAfter = 1'500 * kMillisecond;
+constexpr Micros kStopGrace = 1'500 * kMillisecond;
+/// Small snapshots keep the log in memory short.
+constexpr replication::Index kSnapshotEvery = 4'000;
+/// A machine that is replaced for good has to be made up for before the next one may be lost.
+constexpr Micros kReplaceSilentVoterAfter = 1'500 * kMillisecond;
+
+replication::ReplicaOptions ReplicaOptionsOf(const CoreNodeOptions& options,
+                                             const replication::ReplicaId& id) {
+  return {.id = id,
+          .self = {.node = options.node,
+                   .zone = options.zone,
+                   .address = options.peer_address,
+                   .has_disk = true},
+          .seed = options.seed,
+          .voter_target = options.voter_target,
+          .snapshot_every = kSnapshotEvery,
+          .replace_silent_voter_after = kReplaceSilentVoterAfter};
+}
+
+}  // namespace
+
+replication::ReplicaId FirstReplicaId(const std::string& address) { return "first-" + address; }
+
+replication::StoredState FirstGroup(const std::vector<std::string>& seeds) {
+  replication::Snapshot snapshot{.index = 1, .term = 1};
+  for (const std::string& address : seeds) {
+    snapshot.membership[FirstReplicaId(address)] = {.node = FirstReplicaId(address),
+                                                    .address = address,
+                                                    .role = replication::Role::kVoter,
+                                                    .has_disk = true};
+  }
+  return {.term = 1, .snapshot = std::move(snapshot)};
+}
+
+CoreNode::CoreNode(CoreNodeOptions options, const replication::ReplicaId& replica,
+                   replication::StoredState stored, Micros now)
+    : options_(std::move(options)),
+      replica_id_(replica),
+      state_(options_.state),
+      replica_(ReplicaOptionsOf(options_, replica), std::move(stored), now),
+      leader_(options_.leader, state_),
+      gateway_({.own_address = options_.peer_address,
+                .seeds = options_.seeds,
+                .first_call = options_.seed}) {}
+
+bool CoreNode::Serving() const { return replica_.HoldsLease(now_) && replica_.KnowsCommit(); }
+
+std::vector<Effect> CoreNode::Step(const Event& event, Micros now, WallMs wall) {
+  now_ = now;
+  wall_ = wall;
+  std::visit([this](const auto& one) { Handle(one); }, event);
+  FollowLeadership();
+  if (Serving()) leader_.Tick(now_, wall_, out_);
+  ProposeAll();
+  SendToSelf();
+  return std::exchange(out_.effects, {});
+}
+
+// ---- events ----
+
+void CoreNode::Handle(const TickEvent& /*event*/) {
+  replication::Effects effects;
+  replica_.Tick(now_, effects);
+  CarryOut(std::move(effects));
+  JoinIfNeeded();
+  gateway_.Tick(now_, out_);
+  if (!stopping_) return;
+  if (gateway_.waiting() == 0 || now_ - stopping_since_ > kStopGrace) {
+    out_.Add(ExitEffect{.status = 0, .reason = "stopped"});
+  }
+}
+
+void CoreNode::Handle(const PeerEvent& event) {
+  std::visit([this](const auto& message) { Receive(message); }, event.message);
+}
+
+void CoreNode::Handle(const SyncedEvent& event) {
+  replication::Effects effects;
+  replica_.Synced(event.token, now_, effects);
+  CarryOut(std::move(effects));
+}
+
+void CoreNode::Handle(const CallEvent& event) { gateway_.OnCall(event, now_, out_); }
+
+void CoreNode::Handle(const HttpClosedEvent& event) { gateway_.OnClosed(event.connection); }
+
+void CoreNode::Handle(const OrderEvent& event) {
+  leader_.OnOrderReply(event, now_, wall_, out_);
+}
+
+void CoreNode::Handle(const VmEvent& event) { leader_.OnVmReply(event, now_, wall_, out_); }
+
+void CoreNode::Handle(const SeedsEvent& event) {
+  options_.seeds = event.seeds;
+  gateway_.SetSeeds(event.seeds);
+}
+
+void CoreNode::Handle(const ShutdownEvent& /*event*/) {
+  if (stopping_) return;
+  stopping_ = true;
+  stopping_since_ = now_;
+  out_.Log("draining", {{"leading", leader_.leading() ? "true" : "false"}});
+}
+
+// ---- messages ----
+
+void CoreNode::Receive(const ReplicationFrame& frame) {
+  if (frame.group != kGroup || frame.to != replica_id_) return;
+  replication::Effects effects;
+  replica_.Receive(frame.from, frame.message, now_, effects);
+  CarryOut(std::move(effects));
+}
+
+void CoreNode::Receive(const Join& join) {
+  JoinReply reply{.accepted = false, .leader_address = LeaderAddress()};
+  if (replica_.is_leader()) {
+    replication::Effects effects;
+    reply.accepted = replica_.AddLearner(join.replica, join.member, now_, effects);
+    CarryOut(std::move(effects));
+  }
+  out_.Send(join.member.address, reply);
+}
+
+void CoreNode::Receive(const JoinReply& reply) {
+  if (replica_.is_member() && replica_.leader()) return;
+  if (reply.accepted || reply.leader_address.empty()) return;
+  if (reply.leader_address != options_.peer_address) SendJoin(reply.leader_address);
+}
+
+void CoreNode::Receive(const LeaderQuery& query) {
+  LeaderInfo info{.sender_address = options_.peer_address,
+                  .serving = Serving(),
+                  .term = replica_.term(),
+                  .leader_address = LeaderAddress()};
+  for (const auto& [id, member] : replica_.membership()) info.addresses.push_back(member.address);
+  out_.Send(query.reply_address, std::move(info));
+}
+
+void CoreNode::Receive(const LeaderInfo& info) { gateway_.OnInfo(info, now_, out_); }
+
+void CoreNode::Receive(const CallRequest& request) {
+  if (!Serving() || replica_.term() != request.term || !leader_.leading()) {
+    out_.Send(request.reply_address,
+              CallReply{.id = request.id, .term = request.term, .handled = false});
+    return;
+  }
+  leader_.OnCall(request, now_, wall_, out_);
+}
+
+void CoreNode::Receive(const CallReply& reply) { gateway_.OnReply(reply, out_); }
+
+/// Carries frames of this node to itself without a connection.
+void CoreNode::SendToSelf() {
+  for (int round = 0; round < 4; ++round) {
+    std::vector<PeerMessage> own;
+    std::erase_if(out_.effects, [&](Effect& effect) {
+      auto* send = std::get_if<SendEffect>(&effect);
+      if (send == nullptr || send->address != options_.peer_address) return false;
+      own.push_back(std::move(send->message));
+      return true;
+    });
+    if (own.empty()) return;
+    for (const PeerMessage& message : own) {
+      std::visit([this](const auto& one) { Receive(one); }, message);
+    }
+    ProposeAll();
+  }
+}
+
+// ---- replication ----
+
+void CoreNode::CarryOut(replication::Effects effects) {
+  if (effects.persist) out_.Add(PersistEffect{.batch = std::move(*effects.persist)});
+  for (replication::Envelope& envelope : effects.send) {
+    if (envelope.address.empty()) continue;
+    out_.Send(std::move(envelope.address), ReplicationFrame{.group = kGroup,
+                                                            .from = replica_id_,
+                                                            .to = std::move(envelope.to),
+                                                            .message = std::move(envelope.message)});
+  }
+  if (effects.install) {
+    state_.Decode(effects.install->state);
+    applied_ = effects.install->index;
+    out_.Log("snapshot_installed", {{"index", std::to_string(applied_)}});
+  }
+  for (const replication::Entry& entry : effects.committed) Apply(entry);
+  if (effects.wants_snapshot) {
+    replication::Effects more;
+    replica_.Compact(applied_, state_.Encode(), more);
+    CarryOut(std::move(more));
+  }
+}
+
+void CoreNode::Apply(const replication::Entry& entry) {
+  applied_ = entry.index;
+  if (entry.kind == replication::EntryKind::kMembership) {
+    out_.Log("membership_changed", {{"index", std::to_string(entry.index)},
+                                    {"members", std::to_string(replica_.membership().size())}});
+  }
+  if (entry.kind != replication::EntryKind::kCommand) return;
+  const auto command = Decode<Command>(entry.payload);
+  ApplyOutcome outcome = ApplyOutcome::kRejected;
+  try {
+    outcome = state_.Apply(command);
+  } catch (const StateError& error) {
+    // The same on every node. The command is passed over; a process that ends here would end again
+    // at each replay.
+    out_.Log("invariant_violated", {{"reason", error.what()}}, Severity::kError);
+    out_.Count("invariant_violations_total");
+  }
+  leader_.OnApplied(entry.index, command, outcome, now_, out_);
+}
+
+void CoreNode::FollowLeadership() {
+  const bool leads = replica_.is_leader() && replica_.KnowsCommit();
+  if (leads && !leader_.leading()) leader_.BeginTerm(replica_.term(), now_, out_);
+  if (!replica_.is_leader() && leader_.leading()) leader_.EndTerm(out_);
+}
+
+void CoreNode::ProposeAll() {
+  std::vector<std::string> payloads = leader_.TakeProposals();
+  if (payloads.empty()) return;
+  replication::Effects effects;
+  const auto first = replica_.Propose(std::move(payloads), now_, effects);
+  if (!first) return leader_.EndTerm(out_);
+  leader_.Proposed(*first);
+  CarryOut(std::move(effects));
+}
+
+std::string CoreNode::LeaderAddress() const {
+  const auto leader = replica_.leader();
+  if (!leader) return {};
+  const auto member = replica_.membership().find(*leader);
+  return member == replica_.membership().end() ? std::string() : member->second.address;
+}
+
+void CoreNode::SendJoin(const std::string& address) {
+  out_.Send(address, Join{.replica = replica_id_,
+                          .member = {.node = options_.node,
+                                     .zone = options_.zone,
+                                     .address = options_.peer_address,
+                                     .role = replication::Role::kLearner,
+                                     .has_disk = true}});
+}
+
+void CoreNode::JoinIfNeeded() {
+  if (replica_.leader()) leader_heard_ = now_;
+  const bool settled = replica_.is_member() && now_ - leader_heard_ < kRejoinAfter;
+  if (settled || now_ < next_join_) return;
+  next_join_ = now_ + kJoinPeriod;
+  std::set<std::string> others(options_.seeds.begin(), options_.seeds.end());
+  for (const auto& [id, member] : replica_.membership()) others.insert(member.address);
+  others.erase(options_.peer_address);
+  if (others.empty()) return;
+  SendJoin(*std::next(others.begin(),
+                      static_cast<std::ptrdiff_t>(next_seed_++ % others.size())));
+}
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/control/core_node.h
@@ -0,0 +1,97 @@
+#ifndef GODWITPADDLE_CONTROL_CORE_NODE_H_
+#define GODWITPADDLE_CONTROL_CORE_NODE_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "control/events.h"
+#include "control/gateway.h"
+#include "control/leader.h"
+#include "jobs/state.h"
+#include "replication/replica.h"
+
+namespace godwitpaddle::jobs {
+
+struct CoreNodeOptions {
+  std::string node;
+  std::string zone;
+  std::string peer_address;
+  std::vector<std::string> seeds;  // peer addresses of core nodes
+  std::uint64_t seed = 1;          // random per process start
+  int voter_target = 5;
+  StateOptions state;
+  LeaderOptions leader;
+};
+
+/// What a seed that starts with an empty disk at the first start of the whole system stores: a group
+/// of all seeds. Every seed computes the same one, so that none has to be first.
+replication::StoredState FirstGroup(const std::vector<std::string>& seeds);
+/// The replica id that FirstGroup gives to the seed at `address`.
+replication::ReplicaId FirstReplicaId(const std::string& address);
+
+/// A node with a disk: a voter of the replicated log and, when elected, the leader. The same
+/// options, stored state and events give the same effects.
+class CoreNode {
+ public:
+  CoreNode(CoreNodeOptions options, const replication::ReplicaId& replica,
+           replication::StoredState stored, Micros now);
+
+  std::vector<Effect> Step(const Event& event, Micros now, WallMs wall);
+
+  const State& state() const { return state_; }
+  const replication::Replica& replica() const { return replica_; }
+  bool Serving() const;
+
+ private:
+  void Handle(const TickEvent& event);
+  void Handle(const PeerEvent& event);
+  void Handle(const SyncedEvent& event);
+  void Handle(const CallEvent& event);
+  void Handle(const HttpClosedEvent& event);
+  void Handle(const OrderEvent& event);
+  void Handle(const VmEvent& event);
+  void Handle(const SeedsEvent& event);
+  void Handle(const ShutdownEvent& event);
+
+  void Receive(const ReplicationFrame& frame);
+  void Receive(const Join& join);
+  void Receive(const JoinReply& reply);
+  void Receive(const LeaderQuery& query);
+  void Receive(const LeaderInfo& info);
+  void Receive(const CallRequest& request);
+  void Receive(const CallReply& reply);
+  template <typename Other>
+  void Receive(const Other& /*message*/) {}  // of the request service
+
+  void CarryOut(replication::Effects effects);
+  void Apply(const replication::Entry& entry);
+  void FollowLeadership();
+  void ProposeAll();
+  void SendToSelf();
+  void JoinIfNeeded();
+  void SendJoin(const std::string& address);
+  std::string LeaderAddress() const;
+
+  CoreNodeOptions options_;
+  replication::ReplicaId replica_id_;
+  State state_;
+  replication::Replica replica_;
+  Leader leader_;
+  Gateway gateway_;
+  replication::Index applied_ = 0;
+  std::size_t entries_since_snapshot_ = 0;
+  Micros now_ = 0;
+  WallMs wall_ = 0;
+  Outbox out_;
+  Micros leader_heard_ = 0;
+  Micros next_join_ = 0;
+  std::size_t next_seed_ = 0;
+  bool stopping_ = false;
+  Micros stopping_since_ = 0;
+};
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_CONTROL_CORE_NODE_H_
--- /dev/null
+++ b/control/gateway.cc
@@ -0,0 +1,148 @@
+#include "control/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+constexpr Micros kAskPeriod = 400 * kMillisecond;        // while a leader is known
+constexpr Micros kSearchPeriod = 100 * kMillisecond;     // while none is
+constexpr Micros kLeaderSilence = 1'300 * kMillisecond;  // three questions without an answer
+/// An answer leaves this long before the caller gives up.
+constexpr Micros kAnswerMargin = 30 * kMillisecond;
+constexpr std::int64_t kLeaderRetryS = 1;  // an election takes about a second
+constexpr std::size_t kMaxWaiting = 4'000;
+constexpr std::size_t kAskedAtOnce = 2;
+
+Answer NoLeader() {
+  return {.code = AnswerCode::kUnavailable,
+          .text = "no leader is known; the call has not run",
+          .retry_after_s = kLeaderRetryS};
+}
+
+bool ChangesSomething(const Call& call) {
+  const auto* job = std::get_if<JobCall>(&call);
+  if (job != nullptr) return job->kind != JobCallKind::kQuery;
+  return !std::holds_alternative<ReadConfigurationCall>(call) &&
+         !std::holds_alternative<WaveQueryCall>(call);
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewayOptions options)
+    : options_(std::move(options)), next_call_(options_.first_call) {}
+
+bool Gateway::HasLeader(Micros now) const {
+  return !leader_.empty() && now - leader_seen_ < kLeaderSilence;
+}
+
+void Gateway::OnCall(CallEvent event, Micros now, Outbox& out) {
+  if (!HasLeader(now) || calls_.size() >= kMaxWaiting) {
+    out.Add(AnswerEffect{.connection = event.connection, .answer = NoLeader()});
+    out.Count("calls_without_leader_total");
+    return;
+  }
+  const std::uint64_t id = next_call_++;
+  Waiting& waiting = calls_[id];
+  waiting.connection = event.connection;
+  waiting.call = std::move(event.call);
+  waiting.deadline = now + event.timeout_ms * kMillisecond - kAnswerMargin;
+  Send(id, waiting, out);
+}
+
+void Gateway::Send(std::uint64_t id, Waiting& waiting, Outbox& out) const {
+  waiting.sent_term = term_;
+  out.Send(leader_, CallRequest{.id = id,
+                                .reply_address = options_.own_address,
+                                .term = term_,
+                                .call = waiting.call});
+}
+
+void Gateway::OnReply(const CallReply& reply, Outbox& out) {
+  const auto found = calls_.find(reply.id);
+  if (found == calls_.end()) return;
+  // Not handled: the leader has changed; the call goes out again once the next one is known.
+  if (!reply.handled) return;
+  out.Add(AnswerEffect{.connection = found->second.connection, .answer = reply.answer});
+  calls_.erase(found);
+}
+
+void Gateway::OnInfo(const LeaderInfo& info, Micros now, Outbox& out) {
+  if (!info.addresses.empty() && info.term >= term_) {
+    known_ = std::set<std::string>(info.addresses.begin(), info.addresses.end());
+  }
+  if (!info.serving) {
+    if (!HasLeader(now) && !info.leader_address.empty()) Ask(info.leader_address, out);
+    return;
+  }
+  if (info.term < term_) return;
+  const bool changed = info.term > term_ || leader_ != info.sender_address;
+  leader_ = info.sender_address;
+  term_ = info.term;
+  leader_seen_ = now;
+  if (changed || !had_leader_) {
+    had_leader_ = true;
+    out.Log("leader_found", {{"address", leader_}, {"term", std::to_string(term_)}});
+  }
+  if (!changed) return;
+  for (auto& [id, waiting] : calls_) {
+    if (waiting.sent_term < term_) Send(id, waiting, out);
+  }
+}
+
+void Gateway::OnClosed(std::uint64_t connection) {
+  std::erase_if(calls_,
+                [&](const auto& entry) { return entry.second.connection == connection; });
+}
+
+void Gateway::Ask(const std::string& address, Outbox& out) const {
+  out.Send(address, LeaderQuery{.reply_address = options_.own_address});
+}
+
+void Gateway::AskSome(Outbox& out) {
+  std::set<std::string> all = known_;
+  all.insert(options_.seeds.begin(), options_.seeds.end());
+  if (all.empty()) return;
+  for (std::size_t i = 0; i < std::min(kAskedAtOnce, all.size()); ++i) {
+    Ask(*std::next(all.begin(), static_cast<std::ptrdiff_t>(next_asked_++ % all.size())), out);
+  }
+}
+
+void Gateway::Tick(Micros now, Outbox& out) {
+  Expire(now, out);
+  const bool has_leader = HasLeader(now);
+  if (had_leader_ && !has_leader) {
+    had_leader_ = false;
+    out.Log("leader_lost",
+            {{"address", leader_},
+             {"term", std::to_string(term_)},
+             {"silent_ms", std::to_string((now - leader_seen_) / kMillisecond)}},
+            Severity::kWarning);
+  }
+  const Micros period = has_leader ? kAskPeriod : kSearchPeriod;
+  if (now - asked_ < period) return;
+  asked_ = now;
+  if (has_leader) Ask(leader_, out);
+  // Another core node may know of a later term while the leader is slow or cut off.
+  if (!has_leader || now - leader_seen_ > kAskPeriod + kSearchPeriod) AskSome(out);
+}
+
+void Gateway::Expire(Micros now, Outbox& out) {
+  for (auto next = calls_.begin(); next != calls_.end();) {
+    const Waiting& waiting = next->second;
+    if (waiting.deadline > now) {
+      ++next;
+      continue;
+    }
+    Answer answer = NoLeader();
+    if (ChangesSomething(waiting.call)) {
+      answer = {.code = AnswerCode::kUnknown, .text = "no answer of the leader in time"};
+    }
+    out.Add(AnswerEffect{.connection = waiting.connection, .answer = answer});
+    out.Count("calls_expired_total");
+    next = calls_.erase(next);
+  }
+}
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/control/gateway.h
@@ -0,0 +1,64 @@
+#ifndef GODWITPADDLE_CONTROL_GATEWAY_H_
+#define GODWITPADDLE_CONTROL_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/events.h"
+
+namespace godwitpaddle::jobs {
+
+struct GatewayOptions {
+  std::string own_address;         // where answers arrive
+  std::vector<std::string> seeds;  // core nodes to start from
+  std::uint64_t first_call = 1;    // random, so that answers to an earlier process are not taken
+};
+
+/// Takes calls from outside to the leader and brings the answers back. It finds the leader through
+/// the core nodes that it knows. A call is sent once to each leader, and again only to one of a
+/// later term; until an answer comes its outcome is unknown.
+class Gateway {
+ public:
+  explicit Gateway(GatewayOptions options);
+
+  void OnCall(CallEvent event, Micros now, Outbox& out);
+  void OnReply(const CallReply& reply, Outbox& out);
+  void OnInfo(const LeaderInfo& info, Micros now, Outbox& out);
+  void OnClosed(std::uint64_t connection);
+  void SetSeeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+  void Tick(Micros now, Outbox& out);
+
+  bool HasLeader(Micros now) const;
+  std::size_t waiting() const { return calls_.size(); }
+
+ private:
+  struct Waiting {
+    std::uint64_t connection = 0;
+    Call call;
+    Micros deadline = 0;
+    replication::Term sent_term = 0;  // 0: not sent yet
+  };
+
+  void Send(std::uint64_t id, Waiting& waiting, Outbox& out) const;
+  void Ask(const std::string& address, Outbox& out) const;
+  void AskSome(Outbox& out);
+  void Expire(Micros now, Outbox& out);
+
+  GatewayOptions options_;
+  std::uint64_t next_call_;
+  std::map<std::uint64_t, Waiting> calls_;
+  std::set<std::string> known_;  // core nodes
+  std::size_t next_asked_ = 0;
+  std::string leader_;
+  replication::Term term_ = 0;
+  Micros leader_seen_ = 0;
+  Micros asked_ = 0;
+  bool had_leader_ = false;
+};
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_CONTROL_GATEWAY_H_
--- /dev/null
+++ b/control/leader.h
@@ -0,0 +1,98 @@
+#ifndef GODWITPADDLE_CONTROL_LEADER_H_
+#define GODWITPADDLE_CONTROL_LEADER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/events.h"
+#include "control/maintenance.h"
+#include "control/worker_fleet.h"
+#include "jobs/state.h"
+
+namespace godwitpaddle::jobs {
+
+struct LeaderOptions {
+  std::string node;
+  FleetOptions fleet;
+  MaintenanceOptions maintenance;
+  std::size_t max_spec_bytes = 4'000;  // of a job's text
+  std::size_t max_tasks = 20'000;      // of one job, over all steps and occurrences
+};
+
+/// The duties of the node that leads: answers calls, decides what starts where, deals with workers
+/// and the platform. It acts on the replicated state only through proposals.
+class Leader {
+ public:
+  Leader(LeaderOptions options, const State& state);
+
+  void BeginTerm(replication::Term term, Micros now, Outbox& out);
+  void EndTerm(Outbox& out);
+  bool leading() const { return term_ != 0; }
+
+  /// A call of a gateway; the answer may follow once a proposal is applied.
+  void OnCall(const CallRequest& request, Micros now, WallMs wall, Outbox& out);
+  void OnOrderReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
+  void OnVmReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
+  void OnApplied(std::uint64_t index, const Command& command, ApplyOutcome outcome, Micros now,
+                 Outbox& out);
+  /// Plans and renews; call after each event.
+  void Tick(Micros now, WallMs wall, Outbox& out);
+
+  /// Commands to propose now, in order. The index of the first one goes to Proposed.
+  std::vector<std::string> TakeProposals();
+  void Proposed(std::uint64_t first_index);
+
+ private:
+  struct Asker {
+    std::uint64_t id = 0;
+    std::string address;
+  };
+  struct Proposal {
+    Command command;
+    bool has_asker = false;
+    Asker asker;
+  };
+
+  void Propose(Command command) { proposals_.push_back({.command = std::move(command)}); }
+  void ProposeFor(Command command, const CallRequest& request);
+  void Reply(const Asker& asker, Answer answer, Outbox& out) const;
+
+  void Handle(const JobCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void Handle(const HeartbeatCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void Handle(const LeaveCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void Handle(const ConfigureCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void Handle(const ReadConfigurationCall& call, const CallRequest& request, Micros now,
+              WallMs wall, Outbox& out);
+  void Handle(const WaveCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void Handle(const WaveQueryCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  void OnSubmit(const JobCall& call, const Queue& queue, JobId job, const CallRequest& request,
+                WallMs wall, Outbox& out);
+  std::string CheckSpec(const JobSpec& spec) const;
+  Answer Describe(const Queue& queue, const std::string& rest) const;
+  void StopEndedJob(JobId id, Micros now, Outbox& out);
+  void Plan(Micros now, WallMs wall, Outbox& out);
+
+  LeaderOptions options_;
+  const State& state_;
+  WorkerFleet fleet_;
+  Maintenance maintenance_;
+  replication::Term term_ = 0;
+  std::vector<Proposal> proposals_;
+  std::map<std::uint64_t, Asker> askers_;  // by log index
+  std::size_t starts_in_log_ = 0;          // proposed starts that are not applied yet
+  bool plan_due_ = false;
+  Micros next_plan_ = 0;
+  Micros next_fleet_tick_ = 0;
+};
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_CONTROL_LEADER_H_
--- /dev/null
+++ b/control/worker_fleet.cc
@@ -0,0 +1,552 @@
+#include "control/worker_fleet.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+/// Lease that a first start gives to an idle worker, until a hold renews it.
+constexpr std::int64_t kStartLeaseMs = 2'000;
+/// Lease time runs on the worker's clock, which may be slow by 2 percent.
+constexpr double kSlowestClock = 0.98;
+constexpr Micros kLapseMargin = 100 * kMillisecond;
+constexpr std::int64_t kStartTimeoutMs = 400;
+constexpr std::int64_t kStopTimeoutMs = 500;
+constexpr std::int64_t kListTimeoutMs = 700;
+constexpr std::int64_t kHoldWaitMs = 1'000;
+/// Pause between holds of a busy worker, so that one answer brings several ends.
+constexpr Micros kHoldPause = 30 * kMillisecond;
+constexpr Micros kRetryPause = 300 * kMillisecond;
+/// A worker whose process has said goodbye is gone after this.
+constexpr Micros kLeaveGrace = 700 * kMillisecond;
+constexpr Micros kLeaveProbe = 150 * kMillisecond;
+constexpr Micros kForgetSilent = 15 * kSecond;
+/// Reports that may be missing before a worker gets no new tasks.
+constexpr int kMissedHeartbeats = 2;
+constexpr Micros kHeartbeatSlack = 500 * kMillisecond;
+constexpr Micros kUnhealthyRest = kSecond;
+/// Failed runs in a row after which a worker rests, and for how long; doubled with each more.
+constexpr int kFailuresToRest = 2;
+constexpr Micros kFailureRest = 2 * kSecond;
+constexpr int kMaxRestDoublings = 3;
+/// A worker lists at most so many ends at once.
+constexpr std::size_t kListedEnds = 500;
+
+Micros LeaseToLocal(std::int64_t lease_ms) {
+  return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
+}
+
+}  // namespace
+
+void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now) {
+  fencing_token_ = fencing_token;
+  term_began_ = now;
+  sent_.clear();
+  views_.clear();
+  for (const auto& [id, worker] : state_.workers()) {
+    View& view = views_[id];
+    ResetIncarnation(view, worker.record, now);
+    view.last_heard = now;
+    view.lapse_at = now + LeaseToLocal(options_.lease_ms) + kLapseMargin;
+    for (const TaskId& task : worker.tasks) view.runs[task].run = state_.FindTask(task)->run;
+  }
+}
+
+void WorkerFleet::EndTerm() {
+  fencing_token_ = 0;
+  sent_.clear();
+  views_.clear();
+}
+
+WorkerFleet::View* WorkerFleet::Find(const WorkerId& worker) {
+  const auto found = views_.find(worker);
+  return found == views_.end() ? nullptr : &found->second;
+}
+
+void WorkerFleet::ResetIncarnation(View& view, const WorkerRecord& record, Micros now) {
+  view.born_ms = record.born_ms;
+  view.sequence = 0;
+  view.has_clock = false;
+  view.lease_end_ms = 0;
+  view.listed = false;
+  view.leaving = false;
+  view.hold_at = now;
+  view.proposed_ends = 0;
+  view.told_ends = 0;
+  view.failures_in_row = 0;
+  view.proven = false;
+  view.strays.clear();
+}
+
+// ---- clocks and leases ----
+
+void WorkerFleet::NoteClock(View& view, std::int64_t clock_ms, Micros now) {
+  if (clock_ms <= 0) return;
+  if (!view.has_clock) {
+    // An earlier leader may have renewed the lease just before this term.
+    view.lease_end_ms = std::max(view.lease_end_ms, clock_ms + options_.lease_ms);
+  } else {
+    const auto least =
+        view.clock_ms + static_cast<std::int64_t>(static_cast<double>(now - view.clock_at) *
+                                                  kSlowestClock / kMillisecond);
+    if (clock_ms < least) return;  // was held up on its way
+  }
+  view.has_clock = true;
+  view.clock_ms = clock_ms;
+  view.clock_at = now;
+  view.lapse_at = now + LeaseToLocal(view.lease_end_ms - clock_ms) + kLapseMargin;
+}
+
+std::int64_t WorkerFleet::ClockNow(const View& view, Micros now) const {
+  return view.clock_ms + (now - view.clock_at) / kMillisecond;
+}
+
+std::int64_t WorkerFleet::ExtendLease(View& view, std::int64_t lease_ms, Micros now) const {
+  view.lease_end_ms = std::max(view.lease_end_ms, ClockNow(view, now) + lease_ms);
+  view.lapse_at = view.clock_at + LeaseToLocal(view.lease_end_ms - view.clock_ms) + kLapseMargin;
+  return view.lease_end_ms;
+}
+
+// ---- reports ----
+
+bool WorkerFleet::OnHeartbeat(const HeartbeatCall& call, Micros now) {
+  const Worker* known = state_.FindWorker(call.record.id);
+  if (known != nullptr && call.record.born_ms < known->record.born_ms) return false;
+  View* view = Find(call.record.id);
+  if (known == nullptr || !(known->record == call.record)) {
+    const bool late = view != nullptr && view->born_ms == call.record.born_ms &&
+                      call.sequence < view->sequence;
+    if (late) return false;
+    propose_(NoteWorker{.record = call.record});
+  }
+  if (view == nullptr || view->born_ms != call.record.born_ms) return true;
+  if (call.sequence < view->sequence) return false;
+  view->sequence = call.sequence;
+  view->last_heard = now;
+  view->leaving = false;
+  NoteClock(*view, call.clock_ms, now);
+  return true;
+}
+
+void WorkerFleet::OnLeave(const WorkerId& worker, Micros now) {
+  View* view = Find(worker);
+  if (view == nullptr || view->leaving) return;
+  view->leaving = true;
+  view->left_at = now;
+  view->hold_at = now + kLeaveProbe;
+}
+
+std::map<WorkerId, WorkerSight> WorkerFleet::Sights(Micros now) const {
+  std::map<WorkerId, WorkerSight> sights;
+  for (const auto& [id, view] : views_) {
+    sights[id] = {.usable = IsUsable(id, now), .proven = view.proven};
+  }
+  return sights;
+}
+
+bool WorkerFleet::IsUsable(const WorkerId& worker, Micros now) const {
+  const auto found = views_.find(worker);
+  const Worker* known = state_.FindWorker(worker);
+  if (found == views_.end() || known == nullptr) return false;
+  const View& view = found->second;
+  const Micros silence =
+      kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
+  return known->record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
+         view.listed && view.has_clock && now >= view.rest_until &&
+         now - view.last_heard < silence;
+}
+
+bool WorkerFleet::AtWork(const TaskId& task) const {
+  const Task* found = state_.FindTask(task);
+  if (found == nullptr || found->phase != TaskPhase::kAssigned) return false;
+  const auto view = views_.find(found->worker);
+  if (view == views_.end()) return false;
+  const auto run = view->second.runs.find(task);
+  return run != view->second.runs.end() && run->second.percent >= 100;
+}
+
+// ---- what took effect ----
+
+void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now,
+                            Outbox& out) {
+  if (fencing_token_ == 0) return;
+  if (const auto* assign = std::get_if<Assign>(&command)) {
+    View* view = Find(assign->worker);
+    if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
+    Run& run = view->runs[assign->task];
+    run = {.run = assign->run, .phase = RunPhase::kStarting};
+    SendStart(assign->worker, *view, assign->task, run, now, out);
+  } else if (const auto* end = std::get_if<NoteEnd>(&command)) {
+    View* view = Find(end->worker);
+    if (view == nullptr) return;
+    const auto run = view->runs.find(end->task);
+    if (run == view->runs.end() || run->second.run != end->run) return;
+    view->runs.erase(run);
+    CountEnd(*view, end->how, now);
+  } else if (const auto* note = std::get_if<NoteWorker>(&command)) {
+    View& view = views_[note->record.id];
+    if (view.last_heard == 0) view.last_heard = now;
+    if (view.born_ms != note->record.born_ms && outcome == ApplyOutcome::kApplied) {
+      ResetIncarnation(view, note->record, now);
+      view.suspect = false;
+    }
+  } else if (const auto* forget = std::get_if<ForgetWorker>(&command)) {
+    if (outcome == ApplyOutcome::kApplied) views_.erase(forget->worker);
+  }
+}
+
+void WorkerFleet::CountEnd(View& view, EndKind how, Micros now) {
+  if (how == EndKind::kDone) {
+    view.failures_in_row = 0;
+    view.proven = true;
+  }
+  if (how != EndKind::kFailed) return;
+  view.proven = false;
+  if (++view.failures_in_row < kFailuresToRest) return;
+  const int doublings = std::min(view.failures_in_row - kFailuresToRest, kMaxRestDoublings);
+  view.rest_until = std::max(view.rest_until, now + (kFailureRest << doublings));
+}
+
+// ---- orders ----
+
+void WorkerFleet::SendOrder(const WorkerId& worker, View& view, Order order,
+                            std::int64_t timeout_ms, Micros now, Outbox& out) {
+  const std::uint64_t token = next_token_++;
+  const Worker* known = state_.FindWorker(worker);
+  sent_[token] = {
+      .worker = worker, .born_ms = view.born_ms, .order = order, .sent_at = now};
+  out.Add(OrderEffect{.token = token,
+                      .address = known->record.address,
+                      .worker = worker,
+                      .fencing_token = fencing_token_,
+                      .order = std::move(order),
+                      .timeout_ms = timeout_ms});
+}
+
+void WorkerFleet::SendStart(const WorkerId& worker, View& view, const TaskId& task, Run& run,
+                            Micros now, Outbox& out) {
+  const Task* known = state_.FindTask(task);
+  const Job* job = state_.FindJob(task.job);
+  const std::int64_t until =
+      view.suspect ? view.lease_end_ms : ExtendLease(view, kStartLeaseMs, now);
+  ++run.sends;
+  run.start_out = true;
+  SendOrder(worker, view,
+            StartOrder{.task = task,
+                       .run = run.run,
+                       .text = job->spec.text,
+                       .checkpoint = known->checkpoint,
+                       .until_ms = until},
+            kStartTimeoutMs, now, out);
+  out.Count("starts_sent_total");
+  if (run.sends > 1) out.Count("starts_resent_total");
+}
+
+void WorkerFleet::SendStop(const WorkerId& worker, View& view, const TaskId& task, Run& run,
+                           Micros now, Outbox& out) {
+  run.stop_out = true;
+  run.stop_again_at = now + kRetryPause;
+  SendOrder(worker, view, StopOrder{.task = task, .run = run.run}, kStopTimeoutMs, now, out);
+  out.Count("stops_sent_total");
+}
+
+void WorkerFleet::SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out) {
+  const Worker* known = state_.FindWorker(worker);
+  HoldOrder hold{.noted_ends = known->noted_ends};
+  const bool renew = view.has_clock && !view.suspect && !view.leaving && !view.runs.empty();
+  if (renew) hold.until_ms = ExtendLease(view, options_.lease_ms, now);
+  const bool settled = std::ranges::all_of(view.runs, [](const auto& entry) {
+    return entry.second.phase == RunPhase::kRunning && !entry.second.stop_wanted;
+  });
+  if (renew && view.listed && settled) hold.wait_ms = kHoldWaitMs;
+  view.hold_out = true;
+  view.hold_sent_at = now;
+  const std::int64_t timeout = hold.wait_ms + kListTimeoutMs;
+  SendOrder(worker, view, std::move(hold), timeout, now, out);
+  out.Count("holds_sent_total");
+}
+
+void WorkerFleet::Stop(const TaskId& task, Micros now, Outbox& out) {
+  const Task* known = state_.FindTask(task);
+  if (known == nullptr || known->phase != TaskPhase::kAssigned) return;
+  View* view = Find(known->worker);
+  if (view == nullptr) return;
+  const auto run = view->runs.find(task);
+  if (run == view->runs.end() || run->second.stop_wanted) return;
+  run->second.stop_wanted = true;
+  SendStop(known->worker, *view, task, run->second, now, out);
+}
+
+// ---- replies ----
+
+void WorkerFleet::OnReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out) {
+  const auto found = sent_.find(event.token);
+  if (found == sent_.end()) return;
+  const Sent sent = std::move(found->second);
+  sent_.erase(found);
+  View* view = Find(sent.worker);
+  if (view == nullptr) return;
+  const OrderReply& reply = event.reply;
+  const bool answered =
+      reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
+  if (sent.born_ms == view->born_ms && answered) {
+    NoteClock(*view, reply.clock_ms, now);
+    view->last_heard = now;
+  }
+  if (reply.outcome == OrderOutcome::kNotSent || reply.outcome == OrderOutcome::kUnknown) {
+    if (!view->suspect) {
+      out.Log("worker_silent",
+              {{"worker", sent.worker},
+               {"outcome", std::string(NameOf(kOrderOutcomeNames, reply.outcome))},
+               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
+              Severity::kWarning);
+    }
+    view->suspect = true;
+  } else if (answered && view->suspect) {
+    view->suspect = false;
+    out.Log("worker_answers", {{"worker", sent.worker}});
+  }
+  if (reply.outcome == OrderOutcome::kOtherInstance && sent.born_ms == view->born_ms) {
+    out.Log("worker_replaced", {{"worker", sent.worker}}, Severity::kWarning);
+    ConcludeAll(sent.worker, *view, EndKind::kLost, wall);
+    view->leaving = true;
+    view->left_at = now;
+  }
+  if (std::holds_alternative<StartOrder>(sent.order)) {
+    OnStartReply(sent, *view, reply, now, wall);
+  } else if (std::holds_alternative<StopOrder>(sent.order)) {
+    OnStopReply(sent, *view, reply, now);
+  } else if (std::holds_alternative<HoldOrder>(sent.order)) {
+    OnHoldReply(sent, *view, reply, now, wall, out);
+  }
+}
+
+void WorkerFleet::OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
+                               WallMs wall) {
+  const auto& order = std::get<StartOrder>(sent.order);
+  const auto found = view.runs.find(order.task);
+  if (found == view.runs.end() || found->second.run != order.run) return;
+  Run& run = found->second;
+  run.start_out = false;
+  const auto refuse = [&](Micros rest) {
+    view.rest_until = std::max(view.rest_until, now + rest);
+    // An earlier copy that was not answered may still be carried out.
+    if (run.sends > 1) {
+      run.stop_wanted = true;
+    } else {
+      Conclude(sent.worker, view, order.task, run, EndKind::kRefused, wall);
+    }
+  };
+  switch (reply.outcome) {
+    case OrderOutcome::kDone:
+      if (sent.born_ms == view.born_ms) {
+        run.phase = RunPhase::kRunning;
+        run.started_at = now;
+      }
+      break;
+    case OrderOutcome::kRefused:
+      if (reply.reason == RefusalReason::kOld) {
+        // It ran and ended, or was stopped: the next list tells.
+        run.phase = RunPhase::kRunning;
+        run.started_at = now;
+      } else if (reply.reason != RefusalReason::kFence) {
+        refuse(reply.reason == RefusalReason::kRoom ? kRetryPause : 0);
+      }
+      break;
+    case OrderOutcome::kUnhealthy:
+      refuse(kUnhealthyRest);
+      break;
+    case OrderOutcome::kNotSent:
+    case OrderOutcome::kInvalid:
+    case OrderOutcome::kOtherInstance:
+      refuse(kRetryPause);
+      break;
+    case OrderOutcome::kUnknown:
+      break;
+  }
+  run.resend_at = now + kRetryPause;
+  view.hold_at = std::min(view.hold_at, now + kHoldPause);
+}
+
+void WorkerFleet::OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now) {
+  const auto& order = std::get<StopOrder>(sent.order);
+  const auto found = view.runs.find(order.task);
+  if (found == view.runs.end() || found->second.run != order.run) return;
+  Run& run = found->second;
+  run.stop_out = false;
+  const bool known_there = reply.outcome == OrderOutcome::kDone ||
+                           (reply.outcome == OrderOutcome::kRefused &&
+                            reply.reason == RefusalReason::kOld);
+  if (known_there && !run.stop_answered_at && sent.born_ms == view.born_ms) {
+    run.stop_answered_at = now;
+    view.hold_at = std::min(view.hold_at, now + kHoldPause);
+  }
+}
+
+void WorkerFleet::OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
+                              WallMs wall, Outbox& out) {
+  const auto& hold = std::get<HoldOrder>(sent.order);
+  view.hold_out = false;
+  if (reply.outcome != OrderOutcome::kDone) {
+    view.hold_at = now + kRetryPause;
+    if (view.leaving) ConcludeAll(sent.worker, view, EndKind::kLost, wall);
+    return;
+  }
+  view.hold_at = now + kHoldPause;
+  if (sent.born_ms != view.born_ms) return;
+  if (reply.born_ms > view.born_ms) {
+    WorkerRecord record = state_.FindWorker(sent.worker)->record;
+    record.born_ms = reply.born_ms;
+    propose_(NoteWorker{.record = std::move(record)});
+    return;
+  }
+  if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
+  view.listed = true;
+  view.told_ends = std::max(view.told_ends, hold.noted_ends);
+  view.proposed_ends = std::max(view.proposed_ends, hold.noted_ends);
+  NoteEnds(sent.worker, view, reply, wall);
+  NoteRunning(sent.worker, view, reply, now, out);
+  ConcludeUnlisted(sent, view, reply, wall);
+}
+
+void WorkerFleet::NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply,
+                           WallMs wall) {
+  for (const EndedRun& end : reply.ended) {
+    if (end.number <= view.proposed_ends) continue;
+    view.proposed_ends = end.number;
+    const auto run = view.runs.find(end.task);
+    const bool ours = run != view.runs.end() && run->second.run == end.run;
+    if (ours) run->second.end_proposed = true;
+    propose_(NoteEnd{.worker = worker,
+                     .born_ms = view.born_ms,
+                     .number = end.number,
+                     .task = end.task,
+                     .run = end.run,
+                     .how = end.how,
+                     .checkpoint = end.checkpoint,
+                     .wall_ms = wall});
+  }
+}
+
+void WorkerFleet::NoteRunning(const WorkerId& worker, View& view, const OrderReply& reply,
+                              Micros now, Outbox& out) {
+  for (const RunningTask& listed : reply.running) {
+    const auto run = view.runs.find(listed.task);
+    if (run != view.runs.end() && run->second.run == listed.run) {
+      if (run->second.phase != RunPhase::kRunning) {
+        run->second.phase = RunPhase::kRunning;
+        run->second.started_at = now;
+      }
+      run->second.percent = listed.percent;
+      run->second.figure = listed.figure;
+      continue;
+    }
+    // A start that was carried out late, after its run was given up.
+    Micros& again = view.strays[{listed.task, listed.run}];
+    if (again > now) continue;
+    again = now + kRetryPause;
+    out.Log("stray_run_stopped", {{"worker", worker},
+                                  {"task", FormatTask(listed.task)},
+                                  {"run", std::to_string(listed.run)}});
+    SendOrder(worker, view, StopOrder{.task = listed.task, .run = listed.run}, kStopTimeoutMs,
+              now, out);
+  }
+}
+
+void WorkerFleet::ConcludeUnlisted(const Sent& sent, View& view, const OrderReply& reply,
+                                   WallMs wall) {
+  if (reply.ended.size() >= kListedEnds) return;
+  std::set<TaskId> listed;
+  for (const RunningTask& running : reply.running) listed.insert(running.task);
+  const Micros stop_time = options_.stop_ms * kMillisecond;
+  for (auto& [task, run] : view.runs) {
+    if (run.end_proposed || listed.contains(task)) continue;
+    const bool stopped =
+        run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
+    const bool gone =
+        run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
+    if (run.phase == RunPhase::kInherited) {
+      // This list was answered under the new token, so the start can not be carried out any more.
+      Conclude(sent.worker, view, task, run, EndKind::kRefused, wall);
+    } else if (stopped || gone) {
+      Conclude(sent.worker, view, task, run, EndKind::kLost, wall);
+    }
+  }
+}
+
+void WorkerFleet::Conclude(const WorkerId& worker, View& view, const TaskId& task, Run& run,
+                           EndKind how, WallMs wall) {
+  if (run.end_proposed) return;
+  run.end_proposed = true;
+  propose_(NoteEnd{.worker = worker,
+                   .born_ms = view.born_ms,
+                   .task = task,
+                   .run = run.run,
+                   .how = how,
+                   .wall_ms = wall});
+}
+
+void WorkerFleet::Retire(const WorkerId& worker, Micros now, WallMs wall) {
+  View* view = Find(worker);
+  if (view == nullptr) return;
+  ConcludeAll(worker, *view, EndKind::kLost, wall);
+  view->leaving = true;
+  view->left_at = now;
+}
+
+void WorkerFleet::ConcludeAll(const WorkerId& worker, View& view, EndKind how, WallMs wall) {
+  for (auto& [task, run] : view.runs) Conclude(worker, view, task, run, how, wall);
+}
+
+// ---- time ----
+
+void WorkerFleet::Tick(Micros now, WallMs wall, Outbox& out) {
+  if (fencing_token_ == 0) return;
+  for (auto& [worker, view] : views_) {
+    if (state_.FindWorker(worker) != nullptr) TickWorker(worker, view, now, wall, out);
+  }
+}
+
+void WorkerFleet::TickWorker(const WorkerId& worker, View& view, Micros now, WallMs wall,
+                             Outbox& out) {
+  const Worker& known = *state_.FindWorker(worker);
+  if (!view.runs.empty() && now > view.lapse_at) {
+    out.Log("lease_lapsed",
+            {{"worker", worker},
+             {"runs", std::to_string(view.runs.size())},
+             {"heard_ms_ago", std::to_string((now - view.last_heard) / kMillisecond)}},
+            Severity::kWarning);
+    ConcludeAll(worker, view, EndKind::kLost, wall);
+  }
+  if (view.leaving && now - view.left_at > kLeaveGrace) {
+    ConcludeAll(worker, view, EndKind::kLost, wall);
+  }
+  const bool silent = now - view.last_heard > kForgetSilent;
+  if (view.runs.empty() && known.tasks.empty() && (silent || view.leaving)) {
+    propose_(ForgetWorker{.worker = worker, .born_ms = view.born_ms});
+    view.last_heard = now;  // not proposed again at once
+    return;
+  }
+  TickRuns(worker, view, now, out);
+  const bool ends_to_forget = known.noted_ends > view.told_ends;
+  const bool due = !view.listed || view.suspect || ends_to_forget || !view.runs.empty();
+  const bool ends_pending = view.proposed_ends > known.noted_ends;
+  if (due && !view.hold_out && !ends_pending && now >= view.hold_at) {
+    SendHold(worker, view, now, out);
+  }
+}
+
+void WorkerFleet::TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out) {
+  for (auto& [task, run] : view.runs) {
+    if (run.end_proposed) continue;
+    if (run.stop_wanted) {
+      if (!run.stop_out && now >= run.stop_again_at) SendStop(worker, view, task, run, now, out);
+    } else if (run.phase == RunPhase::kStarting && !run.start_out && now >= run.resend_at) {
+      SendStart(worker, view, task, run, now, out);
+    }
+  }
+}
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/control/worker_fleet.h
@@ -0,0 +1,152 @@
+#ifndef GODWITPADDLE_CONTROL_WORKER_FLEET_H_
+#define GODWITPADDLE_CONTROL_WORKER_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/events.h"
+#include "jobs/planner.h"
+#include "jobs/state.h"
+
+namespace godwitpaddle::jobs {
+
+struct FleetOptions {
+  std::int64_t lease_ms = 4'000;       // of everything on a worker, renewed by each hold
+  std::int64_t heartbeat_ms = 1'500;   // period of the workers' reports
+  std::int64_t stop_ms = 1'000;        // a stopped run is gone after this
+};
+
+/// The leader's dealings with the workers: starts, stops, leases, and what is known of each run.
+///
+/// A run counts as running until one of these shows that it is not: its end was listed; the worker
+/// answered a stop and a later list lacks it; the lease end that every call carried has passed on
+/// the worker's clock; another incarnation answers at the worker's id or address.
+class WorkerFleet {
+ public:
+  using Propose = std::function<void(Command)>;
+
+  WorkerFleet(FleetOptions options, const State& state, Propose propose)
+      : options_(options), state_(state), propose_(std::move(propose)) {}
+
+  /// This node leads from now on, with `fencing_token` above those of all earlier leaders.
+  void BeginTerm(std::uint64_t fencing_token, Micros now);
+  void EndTerm();
+
+  /// Returns false when the report is older than what is known and was ignored.
+  bool OnHeartbeat(const HeartbeatCall& call, Micros now);
+  void OnLeave(const WorkerId& worker, Micros now);
+  /// A command took effect.
+  void OnApplied(const Command& command, ApplyOutcome outcome, Micros now, Outbox& out);
+  void OnReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
+  void Tick(Micros now, WallMs wall, Outbox& out);
+
+  /// Ends the run early; it counts as running until that is certain.
+  void Stop(const TaskId& task, Micros now, Outbox& out);
+
+  /// The worker's VM was taken down: nothing runs there any more.
+  void Retire(const WorkerId& worker, Micros now, WallMs wall);
+
+  std::map<WorkerId, WorkerSight> Sights(Micros now) const;
+  /// Whether a lasting task works at full speed, as far as the worker has said.
+  bool AtWork(const TaskId& task) const;
+  bool IsUsable(const WorkerId& worker, Micros now) const;
+
+ private:
+  enum class RunPhase : std::uint8_t {
+    kInherited,  // of an earlier leader; not seen in a list yet
+    kStarting,   // the start is not answered yet
+    kRunning,
+  };
+
+  struct Run {
+    std::uint32_t run = 0;
+    RunPhase phase = RunPhase::kInherited;
+    Micros started_at = 0;    // when it was answered or listed first
+    int sends = 0;            // of the start
+    bool start_out = false;   // a start is under way
+    Micros resend_at = 0;
+    bool stop_wanted = false;
+    bool stop_out = false;
+    Micros stop_again_at = 0;
+    std::optional<Micros> stop_answered_at;
+    bool end_proposed = false;
+    std::uint32_t percent = 0;
+    std::int64_t figure = 0;
+  };
+
+  struct View {
+    std::int64_t born_ms = 0;
+    std::uint64_t sequence = 0;  // of the newest report
+    bool has_clock = false;
+    std::int64_t clock_ms = 0;  // the worker's clock was at least this
+    Micros clock_at = 0;        // at this time
+    std::int64_t lease_end_ms = 0;  // latest that any call of this term carried
+    Micros lapse_at = 0;            // every lease has run out by then
+    bool listed = false;            // its lists were read in this term
+    bool leaving = false;           // said goodbye
+    Micros left_at = 0;
+    bool suspect = false;           // the last order was not answered
+    bool hold_out = false;
+    Micros hold_at = 0;       // the next one is due
+    Micros hold_sent_at = 0;
+    Micros last_heard = 0;
+    Micros rest_until = 0;    // no new starts before
+    int failures_in_row = 0;  // runs that failed since the last one that was done
+    bool proven = false;
+    std::uint64_t proposed_ends = 0;  // ends up to this one are proposed
+    std::uint64_t told_ends = 0;      // the worker was told to forget ends up to this one
+    std::map<TaskId, Run> runs;
+    std::map<std::pair<TaskId, std::uint32_t>, Micros> strays;  // stops of runs that are not ours
+  };
+
+  struct Sent {
+    WorkerId worker;
+    std::int64_t born_ms = 0;
+    Order order;
+    Micros sent_at = 0;
+  };
+
+  View* Find(const WorkerId& worker);
+  void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
+  void NoteClock(View& view, std::int64_t clock_ms, Micros now);
+  std::int64_t ClockNow(const View& view, Micros now) const;
+  std::int64_t ExtendLease(View& view, std::int64_t lease_ms, Micros now) const;
+  void SendOrder(const WorkerId& worker, View& view, Order order, std::int64_t timeout_ms,
+                 Micros now, Outbox& out);
+  void SendStart(const WorkerId& worker, View& view, const TaskId& task, Run& run, Micros now,
+                 Outbox& out);
+  void SendStop(const WorkerId& worker, View& view, const TaskId& task, Run& run, Micros now,
+                Outbox& out);
+  void SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out);
+  void OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
+                    WallMs wall);
+  void OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now);
+  void OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall,
+                   Outbox& out);
+  void NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply, WallMs wall);
+  void NoteRunning(const WorkerId& worker, View& view, const OrderReply& reply, Micros now,
+                   Outbox& out);
+  void ConcludeUnlisted(const Sent& sent, View& view, const OrderReply& reply, WallMs wall);
+  void Conclude(const WorkerId& worker, View& view, const TaskId& task, Run& run, EndKind how,
+                WallMs wall);
+  void ConcludeAll(const WorkerId& worker, View& view, EndKind how, WallMs wall);
+  void TickWorker(const WorkerId& worker, View& view, Micros now, WallMs wall, Outbox& out);
+  void TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out);
+  void CountEnd(View& view, EndKind how, Micros now);
+
+  FleetOptions options_;
+  const State& state_;
+  Propose propose_;
+  std::uint64_t fencing_token_ = 0;  // 0: not leading
+  Micros term_began_ = 0;
+  std::uint64_t next_token_ = 1;
+  std::map<std::uint64_t, Sent> sent_;
+  std::map<WorkerId, View> views_;
+};
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_CONTROL_WORKER_FLEET_H_
--- /dev/null
+++ b/daemon/fleet_process.cc
@@ -0,0 +1,347 @@
+#include "daemon/fleet_process.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <random>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "control/core_node.h"
+#include "control/edge_node.h"
+#include "daemon/job_driver.h"
+#include "platform/wire.h"
+#include "replication/storage.h"
+#include "runtime/file_descriptor.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+#include "runtime/peer_link.h"
+#include "runtime/storage_task.h"
+
+namespace godwitpaddle {
+namespace {
+
+constexpr Micros kCoreTick = 20 * kMillisecond;
+constexpr Micros kEdgeTick = 50 * kMillisecond;
+constexpr Micros kAnswerGrace = kSecond;
+constexpr auto kDiskRetry = std::chrono::milliseconds(300);
+/// Lease of running tasks: long enough for an election and a round of holds.
+constexpr std::int64_t kTaskLeaseMs = 4'000;
+constexpr std::size_t kMaxBodyBytes = 4U << 20U;  // a worker's report may be so large
+constexpr std::size_t kMaxBufferedBytes = 24U << 20U;
+constexpr unsigned kMaxConnections = 1'500;
+constexpr std::size_t kMaxHeaderBytes = 16U << 10U;
+
+std::uint64_t RandomBits() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+jobs::CoreNodeOptions MakeCoreOptions(const FleetSettings& settings) {
+  const FleetTiming& timing = settings.timing;
+  return {.node = settings.node,
+          .zone = settings.zone,
+          .peer_address = settings.peer_address(),
+          .seeds = settings.peer_seeds(),
+          .seed = RandomBits() >> 1U,
+          .state = {.keep_ended_ms = timing.keep_ended_s * 1'000},
+          .leader = {.node = settings.node,
+                     .fleet = {.lease_ms = std::min(timing.longest_lease_ms, kTaskLeaseMs),
+                               .heartbeat_ms = timing.heartbeat_ms,
+                               .stop_ms = timing.stop_ms},
+                     .maintenance = {.holder = settings.node,
+                                     .takeover_ms = timing.holder_lease_ms,
+                                     .maintenance_ms = static_cast<std::int64_t>(
+                                         timing.maintenance_s * 1'000)}}};
+}
+
+/// The data folder of a core node. A disk that refuses is tried again: until it takes the batch the
+/// replica neither votes nor acknowledges.
+class Disk {
+ public:
+  explicit Disk(const FleetSettings& settings)
+      : folder_(settings.data_folder), files_(Open(settings)) {
+    stored_ = files_->TakeStored();
+    const std::vector<std::string> seeds = settings.peer_seeds();
+    const bool is_seed = std::ranges::find(seeds, settings.peer_address()) != seeds.end();
+    const bool empty = stored_.term == 0 && !stored_.snapshot && stored_.log.empty();
+    if (!empty || !settings.forms_group || !is_seed) return;
+    stored_ = jobs::FirstGroup(seeds);
+    files_->Write({.hard_state = {{stored_.term, stored_.voted_for}},
+                   .snapshot = stored_.snapshot});
+  }
+
+  const replication::ReplicaId& replica_id() const { return files_->replica_id(); }
+  replication::StoredState TakeStored() { return std::exchange(stored_, {}); }
+  void Close() { closing_ = true; }
+
+  void Write(replication::PersistBatch batch) {
+    bool refused = false;
+    while (!closing_) {
+      try {
+        if (!files_) Reopen(batch);
+        files_->Write(batch);
+        if (refused) LogEvent(Severity::kInfo, "disk_regained", {{"folder", folder_}});
+        return;
+      } catch (const std::exception& error) {
+        if (!refused) {
+          LogEvent(Severity::kError, "disk_lost", {{"folder", folder_}, {"reason", error.what()}});
+        }
+        refused = true;
+        files_.reset();
+        std::this_thread::sleep_for(kDiskRetry);
+      }
+    }
+  }
+
+ private:
+  static std::unique_ptr<replication::FileStorage> Open(const FleetSettings& settings) {
+    const std::vector<std::string> seeds = settings.peer_seeds();
+    const std::string own = settings.peer_address();
+    const bool first = settings.forms_group && std::ranges::find(seeds, own) != seeds.end();
+    return std::make_unique<replication::FileStorage>(
+        settings.data_folder, first ? jobs::FirstReplicaId(own) : replication::ReplicaId());
+  }
+
+  /// What the refused batch left behind is cut off before the batch is written again.
+  void Reopen(replication::PersistBatch& batch) {
+    files_ = std::make_unique<replication::FileStorage>(folder_);
+    files_->TakeStored();
+    if (!batch.append.empty()) {
+      const replication::Index first = batch.append.front().index;
+      batch.truncate_from = std::min(batch.truncate_from.value_or(first), first);
+    }
+  }
+
+  const std::string folder_;
+  std::unique_ptr<replication::FileStorage> files_;
+  replication::StoredState stored_;
+  std::atomic<bool> closing_{false};
+};
+
+HttpServerOptions MakeServerOptions(const std::string& address) {
+  return {.address = address,
+          .max_body_bytes = kMaxBodyBytes,
+          .max_header_bytes = kMaxHeaderBytes,
+          .max_buffered_bytes = kMaxBufferedBytes,
+          .max_connections = kMaxConnections};
+}
+
+}  // namespace
+
+struct FleetProcess::Impl {
+  FleetSettings settings;
+  std::string settings_file;
+  Metrics metrics;
+  FileDescriptor exit_event{eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)};
+  std::atomic<int> exit_status{0};
+  std::atomic<bool> ready{false};
+  std::unique_ptr<Disk> disk;
+  std::unique_ptr<jobs::CoreNode> core;
+  std::unique_ptr<jobs::EdgeNode> edge;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<StorageTask> storage;
+  std::unique_ptr<PeerLink> peers;
+  std::unique_ptr<HttpServer> calls;  // of clients, or of workers and operators
+  std::unique_ptr<HttpServer> readiness;
+  std::unique_ptr<HttpServer> metrics_server;
+  std::unique_ptr<JobDriver> driver;
+
+  Impl(const FleetSettings& given, std::string file);
+  void MakeCore();
+  void MakeEdge();
+  void MakePeers();
+  void MakeServers();
+  JobSinks MakeSinks();
+  void SendOrder(const jobs::OrderEffect& effect);
+  void SendVmOrder(const jobs::VmEffect& effect);
+  void Exit(const ExitEffect& effect);
+  bool Deliver(const HttpEvent& request);
+};
+
+FleetProcess::Impl::Impl(const FleetSettings& given, std::string file)
+    : settings(given), settings_file(std::move(file)) {
+  if (settings.role == FleetRole::kCore) {
+    MakeCore();
+  } else {
+    MakeEdge();
+  }
+  MakePeers();
+  MakeServers();
+  AddProcessGauges(metrics);
+}
+
+void FleetProcess::Impl::MakeCore() {
+  disk = std::make_unique<Disk>(settings);
+  client = std::make_unique<HttpClient>();
+  core = std::make_unique<jobs::CoreNode>(MakeCoreOptions(settings), disk->replica_id(),
+                                          disk->TakeStored(), MonotonicNow());
+  driver = std::make_unique<JobDriver>(
+      [this](const jobs::Event& event, Micros now, WallMs wall) {
+        return core->Step(event, now, wall);
+      },
+      MakeSinks(), kCoreTick);
+  storage = std::make_unique<StorageTask>(StorageTask::Handlers{
+      .write = [this](const replication::PersistBatch& batch) { disk->Write(batch); },
+      .synced =
+          [this](std::uint64_t token) { driver->mailbox().ForcePush(SyncedEvent{.token = token}); },
+      .failed = [](const std::string& reason) {
+        LogEvent(Severity::kError, "storage_failed", {{"reason", reason}});
+      }});
+}
+
+void FleetProcess::Impl::MakeEdge() {
+  edge = std::make_unique<jobs::EdgeNode>(
+      jobs::GatewayOptions{.own_address = settings.peer_address(),
+                           .seeds = settings.peer_seeds(),
+                           .first_call = RandomBits() >> 1U});
+  driver = std::make_unique<JobDriver>(
+      [this](const jobs::Event& event, Micros now, WallMs wall) {
+        auto effects = edge->Step(event, now, wall);
+        ready = edge->Ready(now);
+        return effects;
+      },
+      MakeSinks(), kEdgeTick);
+}
+
+void FleetProcess::Impl::MakePeers() {
+  peers = std::make_unique<PeerLink>(
+      PeerLinkOptions{.address = settings.peer_address(),
+                      .header = {.group = kFirstGroup, .sender = settings.node},
+                      .seed = RandomBits()},
+      [this](PeerMessage message) {
+        driver->mailbox().Push(PeerEvent{.message = std::move(message)});
+      });
+}
+
+void FleetProcess::Impl::MakeServers() {
+  const std::string& address = settings.role == FleetRole::kCore ? settings.control_address
+                                                                 : settings.client_address;
+  if (!address.empty()) {
+    calls = std::make_unique<HttpServer>(
+        MakeServerOptions(address),
+        HttpServer::Handlers{.deliver = [this](HttpEvent event) { return Deliver(event); },
+                             .closed = [this](std::uint64_t connection) {
+                               driver->mailbox().ForcePush(
+                                   HttpClosedEvent{.connection = connection});
+                             }});
+  }
+  if (!settings.readiness_address.empty()) {
+    readiness = std::make_unique<HttpServer>(
+        MakeServerOptions(settings.readiness_address),
+        HttpServer::Handlers{.local = [this](const HttpEvent& request) {
+          const bool good = ready && platform::IsReadinessRequest(request);
+          return std::optional(RespondEffect{.status = good ? 200 : 503});
+        }});
+  }
+  metrics_server = std::make_unique<HttpServer>(
+      MakeServerOptions(settings.metrics_address()),
+      HttpServer::Handlers{.local = [this](const HttpEvent& request) {
+        if (request.path != "/metrics") return std::optional(RespondEffect{.status = 404});
+        return std::optional(RespondEffect{.content_type = "text/plain; version=0.0.4",
+                                           .body = metrics.Text()});
+      }});
+}
+
+bool FleetProcess::Impl::Deliver(const HttpEvent& request) {
+  auto decoded = settings.role == FleetRole::kCore ? platform::DecodeControlRequest(request)
+                                                   : platform::DecodeClientRequest(request);
+  if (auto* response = std::get_if<RespondEffect>(&decoded)) {
+    calls->Respond(std::move(*response));
+    return true;
+  }
+  return driver->mailbox().TryPush(std::get<jobs::CallEvent>(std::move(decoded)));
+}
+
+JobSinks FleetProcess::Impl::MakeSinks() {
+  return {.send = [this](SendEffect effect) { peers->mailbox().TryPush(std::move(effect)); },
+          .persist =
+              [this](PersistEffect effect) { storage->mailbox().Push(std::move(effect.batch)); },
+          .answer =
+              [this](const jobs::AnswerEffect& effect) {
+                calls->Respond(platform::EncodeAnswer(effect.connection, effect.answer));
+              },
+          .order = [this](const jobs::OrderEffect& effect) { SendOrder(effect); },
+          .vm_order = [this](const jobs::VmEffect& effect) { SendVmOrder(effect); },
+          .metric = [this](const MetricEffect& effect) { metrics.Add(effect.name, effect.value); },
+          .exit = [this](const ExitEffect& effect) { Exit(effect); }};
+}
+
+void FleetProcess::Impl::SendOrder(const jobs::OrderEffect& effect) {
+  HttpTransfer transfer = platform::EncodeOrder(effect);
+  transfer.done = [this, token = effect.token, order = effect.order](const HttpResult& result) {
+    driver->mailbox().ForcePush(jobs::OrderEvent{
+        .token = token, .reply = platform::DecodeOrderReply(order, result)});
+  };
+  client->mailbox().Push(std::move(transfer));
+}
+
+void FleetProcess::Impl::SendVmOrder(const jobs::VmEffect& effect) {
+  if (settings.platform_address.empty()) {
+    driver->mailbox().ForcePush(
+        jobs::VmEvent{.token = effect.token, .reply = {.outcome = jobs::VmOutcome::kNotSent}});
+    return;
+  }
+  HttpTransfer transfer = platform::EncodeVmOrder(effect, settings.platform_address);
+  transfer.done = [this, token = effect.token, order = effect.order](const HttpResult& result) {
+    driver->mailbox().ForcePush(
+        jobs::VmEvent{.token = token, .reply = platform::DecodeVmReply(order, result)});
+  };
+  client->mailbox().Push(std::move(transfer));
+}
+
+void FleetProcess::Impl::Exit(const ExitEffect& effect) {
+  LogEvent(Severity::kInfo, "exit", {{"reason", effect.reason}});
+  exit_status = effect.status;
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const ssize_t written = write(exit_event.get(), &one, sizeof(one));
+}
+
+FleetProcess::FleetProcess(const FleetSettings& settings, std::string settings_file)
+    : impl_(std::make_unique<Impl>(settings, std::move(settings_file))) {}
+
+FleetProcess::~FleetProcess() { Finish(); }
+
+void FleetProcess::Start() {
+  if (impl_->client) impl_->client->Start();
+  if (impl_->storage) impl_->storage->Start();
+  impl_->driver->Start();
+  impl_->peers->Start();
+}
+
+void FleetProcess::BeginShutdown() { impl_->driver->mailbox().ForcePush(ShutdownEvent{}); }
+
+void FleetProcess::Reload() {
+  try {
+    const FleetSettings settings = ReadFleetSettings(impl_->settings_file);
+    if (settings.seeds == impl_->settings.seeds) return;
+    impl_->settings.seeds = settings.seeds;
+    LogEvent(Severity::kInfo, "settings_reloaded",
+             {{"seeds", std::to_string(settings.seeds.size())}});
+    impl_->driver->mailbox().ForcePush(jobs::SeedsEvent{.seeds = settings.peer_seeds()});
+  } catch (const SettingsError& error) {
+    LogEvent(Severity::kError, "settings_unusable", {{"reason", error.what()}});
+  }
+}
+
+int FleetProcess::exit_fd() const { return impl_->exit_event.get(); }
+
+int FleetProcess::Finish() {
+  if (impl_->calls) impl_->calls->Stop(kAnswerGrace);
+  if (impl_->readiness) impl_->readiness->Stop(0);
+  impl_->metrics_server->Stop(0);
+  impl_->driver->Stop();
+  if (impl_->client) impl_->client->Stop();
+  impl_->peers->Stop();
+  if (impl_->disk) impl_->disk->Close();
+  if (impl_->storage) impl_->storage->Stop();
+  return impl_->exit_status;
+}
+
+}  // namespace godwitpaddle
--- /dev/null
+++ b/daemon/job_driver.h
@@ -0,0 +1,51 @@
+#ifndef GODWITPADDLE_DAEMON_JOB_DRIVER_H_
+#define GODWITPADDLE_DAEMON_JOB_DRIVER_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "control/events.h"
+#include "runtime/task.h"
+
+namespace godwitpaddle {
+
+/// Where the effects of a node of job control go. None of these may wait for the driver.
+struct JobSinks {
+  std::function<void(SendEffect)> send;
+  std::function<void(PersistEffect)> persist;
+  std::function<void(jobs::AnswerEffect)> answer;
+  std::function<void(jobs::OrderEffect)> order;
+  std::function<void(jobs::VmEffect)> vm_order;
+  std::function<void(MetricEffect)> metric;
+  std::function<void(ExitEffect)> exit;
+};
+
+/// The task that owns a node of job control.
+class JobDriver : public Task<jobs::Event> {
+ public:
+  using Step = std::function<std::vector<jobs::Effect>(const jobs::Event&, Micros, WallMs)>;
+
+  JobDriver(Step step, JobSinks sinks, Micros tick_period);
+  ~JobDriver() override;
+
+ private:
+  void Handle(jobs::Event event) override;
+  void Tick();
+  void Carry(SendEffect effect) { sinks_.send(std::move(effect)); }
+  void Carry(PersistEffect effect) { sinks_.persist(std::move(effect)); }
+  void Carry(jobs::AnswerEffect effect) { sinks_.answer(std::move(effect)); }
+  void Carry(jobs::OrderEffect effect) { sinks_.order(std::move(effect)); }
+  void Carry(jobs::VmEffect effect) { sinks_.vm_order(std::move(effect)); }
+  static void Carry(const LogEffect& effect);
+  void Carry(MetricEffect effect) { sinks_.metric(std::move(effect)); }
+  void Carry(ExitEffect effect) { sinks_.exit(std::move(effect)); }
+
+  const Step step_;
+  const JobSinks sinks_;
+  const Micros tick_period_;
+};
+
+}  // namespace godwitpaddle
+
+#endif  // GODWITPADDLE_DAEMON_JOB_DRIVER_H_
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "daemon/fleet_process.h"
 #include "daemon/process.h"
 #include "runtime/file_descriptor.h"
 #include "runtime/http_platform.h"
@@ -26,17 +27,31 @@
 struct Arguments {
   std::string config;
   std::string check;
+  std::string fleet;
+  std::string check_fleet;
   bool version = false;
   std::string error;
+
+  /// The settings file that is meant.
+  const std::string& file() const {
+    for (const std::string* file : {&check, &check_fleet, &config}) {
+      if (!file->empty()) return *file;
+    }
+    return fleet;
+  }
 };
 
 Arguments ParseArguments(int argc, const char** argv) {
   char* config = nullptr;
   char* check = nullptr;
+  char* fleet = nullptr;
+  char* check_fleet = nullptr;
   int version = 0;
-  const std::array<poptOption, 5> options = {{
+  const std::array<poptOption, 7> options = {{
       {"config", 'c', POPT_ARG_STRING, &config, 0, "run with this settings file", "FILE"},
       {"check", 0, POPT_ARG_STRING, &check, 0, "check a settings file and exit", "FILE"},
+      {"fleet", 0, POPT_ARG_STRING, &fleet, 0, "run a node of job control with this file", "FILE"},
+      {"check-fleet", 0, POPT_ARG_STRING, &check_fleet, 0, "check such a file and exit", "FILE"},
       {"version", 0, POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND,
   }};
@@ -51,9 +66,13 @@
   }
   if (config != nullptr) arguments.config = config;
   if (check != nullptr) arguments.check = check;
+  if (fleet != nullptr) arguments.fleet = fleet;
+  if (check_fleet != nullptr) arguments.check_fleet = check_fleet;
   arguments.version = version != 0;
   std::free(config);
   std::free(check);
+  std::free(fleet);
+  std::free(check_fleet);
   return arguments;
 }
 
@@ -79,23 +98,38 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return FileDescriptor(signalfd(-1, &signals, SFD_CLOEXEC));
 }
 
-/// Waits until the node exits; the first signal starts the graceful shutdown, a second one ends the
-/// process at once.
-int Supervise(Process& process, const FileDescriptor& signals) {
+/// The settings file may change without a signal.
+constexpr int kReloadPeriodMs = 2'000;
+
+/// The settings of the request service are read once.
+void Reload(Process& /*process*/) {}
+void Reload(FleetProcess& process) { process.Reload(); }
+
+/// Waits until the node exits; the first signal to stop starts the graceful shutdown, a second one
+/// ends the process at once.
+template <typename AnyProcess>
+int Supervise(AnyProcess& process, const FileDescriptor& signals) {
   bool stopping = false;
   while (true) {
     std::array<pollfd, 2> watched = {
         {{.fd = signals.get(), .events = POLLIN}, {.fd = process.exit_fd(), .events = POLLIN}}};
-    if (poll(watched.data(), watched.size(), -1) < 0) continue;
+    const int ready = poll(watched.data(), watched.size(), kReloadPeriodMs);
+    if (ready == 0) Reload(process);
+    if (ready <= 0) continue;
     if (watched[1].revents != 0) return process.Finish();
     signalfd_siginfo info{};
     if (read(signals.get(), &info, sizeof(info)) != sizeof(info)) continue;
     LogEvent(Severity::kInfo, "signal", {{"number", std::to_string(info.ssi_signo)}});
+    if (info.ssi_signo == SIGHUP) {
+      Reload(process);
+      continue;
+    }
     if (stopping) std::_Exit(EXIT_FAILURE);
     stopping = true;
     process.BeginShutdown();
@@ -116,6 +150,21 @@
   return Supervise(process, signals);
 }
 
+int RunFleet(const std::string& file) {
+  const FleetSettings settings = ReadFleetSettings(file);
+  StartLog({.standard_output = true}, "godwitpaddled");
+  const FileDescriptor signals = TakeSignals();
+  FleetProcess process(settings, file);
+  process.Start();
+  LogEvent(Severity::kInfo, "started",
+           {{"node", settings.node},
+            {"version", GODWITPADDLE_VERSION},
+            {"role", std::string(NameOf(kFleetRoleNames, settings.role))},
+            {"peer_address", settings.peer_address()},
+            {"forms_group", settings.forms_group ? "true" : "false"}});
+  return Supervise(process, signals);
+}
+
 int Main(int argc, const char** argv) {
   const Arguments arguments = ParseArguments(argc, argv);
   if (!arguments.error.empty()) {
@@ -132,16 +181,21 @@
       std::printf("%s: ok\n", arguments.check.c_str());
       return EXIT_SUCCESS;
     }
+    if (!arguments.check_fleet.empty()) {
+      ReadFleetSettings(arguments.check_fleet);
+      std::printf("%s: ok\n", arguments.check_fleet.c_str());
+      return EXIT_SUCCESS;
+    }
     if (!arguments.config.empty()) return Run(arguments.config);
+    if (!arguments.fleet.empty()) return RunFleet(arguments.fleet);
   } catch (const SettingsError& error) {
-    const std::string& file = arguments.check.empty() ? arguments.config : arguments.check;
-    std::fprintf(stderr, "godwitpaddled: %s: %s\n", file.c_str(), error.what());
+    std::fprintf(stderr, "godwitpaddled: %s: %s\n", arguments.file().c_str(), error.what());
     return kUsageError;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "godwitpaddled: %s\n", error.what());
     return EXIT_FAILURE;
   }
-  std::fputs("godwitpaddled: --config FILE is missing; see --help\n", stderr);
+  std::fputs("godwitpaddled: --config FILE or --fleet FILE is missing; see --help\n", stderr);
   return kUsageError;
 }
 
--- /dev/null
+++ b/jobs/orders.h
@@ -0,0 +1,151 @@
+#ifndef GODWITPADDLE_JOBS_ORDERS_H_
+#define GODWITPADDLE_JOBS_ORDERS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jobs/types.h"
+
+/// What the leader tells workers and the platform, and what they answer.
+namespace godwitpaddle::jobs {
+
+struct StartOrder {
+  TaskId task;
+  std::uint32_t run = 0;
+  std::string text;  // of the job
+  std::string checkpoint;
+  std::int64_t until_ms = 0;  // lease end on the worker's clock
+};
+
+struct StopOrder {
+  TaskId task;
+  std::uint32_t run = 0;
+};
+
+/// Renews the lease of everything on the worker and asks for its lists.
+struct HoldOrder {
+  std::uint64_t noted_ends = 0;           // the worker may forget its ends up to this one
+  std::optional<std::int64_t> until_ms;   // without it the lease is not renewed
+  std::int64_t wait_ms = 0;               // the answer may wait so long for an end
+};
+
+/// Lets a task work at a share of its speed.
+struct PaceOrder {
+  TaskId task;
+  std::uint32_t run = 0;
+  std::uint32_t percent = 100;
+};
+
+using Order = std::variant<StartOrder, StopOrder, HoldOrder, PaceOrder>;
+
+enum class OrderOutcome : std::uint8_t {
+  kDone,
+  kRefused,        // see the reason
+  kUnhealthy,      // the worker has done nothing
+  kOtherInstance,  // another worker has the address
+  kInvalid,        // the worker did not understand
+  kNotSent,        // certainly not carried out
+  kUnknown,        // may be carried out, also later
+};
+inline constexpr EnumNames<7> kOrderOutcomeNames = {
+    "done", "refused", "unhealthy", "other_instance", "invalid", "not_sent", "unknown"};
+
+enum class RefusalReason : std::uint8_t { kNone, kFence, kOld, kLate, kRoom, kTicket };
+inline constexpr EnumNames<6> kRefusalReasonNames = {"none", "fence", "old",
+                                                     "late", "room",  "ticket"};
+
+struct RunningTask {
+  TaskId task;
+  std::uint32_t run = 0;
+  std::string checkpoint;
+  std::uint32_t percent = 0;
+  std::int64_t figure = 0;  // tail response time in ms of a serving task, else cpu in use
+};
+
+struct EndedRun {
+  std::uint64_t number = 0;  // the worker's count of ends, from 1
+  TaskId task;
+  std::uint32_t run = 0;
+  EndKind how = EndKind::kDone;
+  std::string checkpoint;
+};
+
+struct OrderReply {
+  OrderOutcome outcome = OrderOutcome::kUnknown;
+  RefusalReason reason = RefusalReason::kNone;
+  std::int64_t clock_ms = 0;  // the worker's clock; 0 without an answer
+  std::int64_t born_ms = 0;   // of the worker that answered a hold
+  std::vector<RunningTask> running;
+  std::vector<EndedRun> ended;
+};
+
+/// One call to a worker.
+struct OrderEffect {
+  std::uint64_t token = 0;  // comes back with the reply
+  std::string address;
+  WorkerId worker;
+  std::uint64_t fencing_token = 0;
+  Order order;
+  std::int64_t timeout_ms = 0;
+};
+
+struct OrderEvent {
+  std::uint64_t token = 0;
+  OrderReply reply;
+};
+
+// ---- platform ----
+
+enum class VmPhase : std::uint8_t { kUp, kMoving, kMaintained, kDown };
+
+struct VmRecord {
+  VmId vm;
+  std::string pool;
+  VmPhase phase = VmPhase::kUp;
+  std::vector<std::string> labels;
+  Resources capacity;
+  WorkerId worker;
+};
+
+struct ListVms {
+  std::string page;
+};
+struct MoveVm {
+  VmId vm;
+  std::string pool;
+};
+struct MaintainVm {
+  VmId vm;
+  WaveId wave = 0;
+};
+using VmOrder = std::variant<ListVms, MoveVm, MaintainVm>;
+
+enum class VmOutcome : std::uint8_t { kDone, kFenced, kBusy, kNotInWave, kNoSuchVm, kThrottled,
+                                      kNotSent, kUnknown };
+inline constexpr EnumNames<8> kVmOutcomeNames = {"done",       "fenced",    "busy",     "not_in_wave",
+                                                 "no_such_vm", "throttled", "not_sent", "unknown"};
+
+struct VmReply {
+  VmOutcome outcome = VmOutcome::kUnknown;
+  std::vector<VmRecord> vms;
+  std::string next_page;
+};
+
+struct VmEffect {
+  std::uint64_t token = 0;
+  std::string holder;
+  std::uint64_t fencing_token = 0;
+  VmOrder order;
+};
+
+struct VmEvent {
+  std::uint64_t token = 0;
+  VmReply reply;
+};
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_JOBS_ORDERS_H_
--- /dev/null
+++ b/jobs/planner.cc
@@ -0,0 +1,242 @@
+#include "jobs/planner.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+/// A job that is this many times over its objective earns nothing any more.
+constexpr std::int64_t kWorthlessFactor = 3;
+
+/// Room of one worker within a plan.
+struct Room {
+  const Worker* worker = nullptr;
+  Resources left;
+  bool proven = false;
+};
+
+struct Candidate {
+  const Job* job = nullptr;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::tuple<bool, int, std::int64_t> rank;  // hopeless, priority, due time
+};
+
+/// Length of the longest chain of dependent steps.
+std::int64_t ChainMs(const JobSpec& spec) {
+  std::vector<std::int64_t> ends(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    std::int64_t begin = 0;
+    for (const std::uint32_t before : spec.steps[i].depends_on) {
+      if (before < i) begin = std::max(begin, ends[before]);
+    }
+    ends[i] = begin + spec.steps[i].estimate_ms;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+class Plan {
+ public:
+  explicit Plan(const PlanInput& input) : input_(input) {}
+
+  std::vector<Assign> Make();
+
+ private:
+  void AddRooms();
+  void AddCandidates(const Job& job);
+  bool IsReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) const;
+  std::int64_t DueMs(const Job& job, std::uint32_t occurrence) const;
+  void Place(const Candidate& candidate);
+  void PlaceGang(const Candidate& candidate, const StepRun& run);
+  Room* Choose(const Candidate& candidate, const std::map<WorkerId, std::uint32_t>& here,
+               bool last_attempt);
+  bool WithinLimit(const Job& job, const Resources& size) const;
+  void Take(const Candidate& candidate, std::uint32_t index, std::uint32_t run, Room& room);
+  std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
+
+  const PlanInput& input_;
+  std::map<std::string, std::vector<Room>> rooms_;  // by service
+  std::vector<Candidate> candidates_;
+  std::map<std::string, Resources> usage_;  // by team
+  std::vector<Assign> starts_;
+};
+
+std::vector<Assign> Plan::Make() {
+  for (const JobId id : input_.state.open_jobs()) {
+    const Job& job = *input_.state.FindJob(id);
+    if (job.active()) AddCandidates(job);
+  }
+  if (candidates_.empty()) return {};
+  AddRooms();
+  usage_ = input_.state.team_usage();
+  std::ranges::stable_sort(candidates_, {}, &Candidate::rank);
+  for (const Candidate& candidate : candidates_) {
+    if (starts_.size() >= input_.max_starts) break;
+    Place(candidate);
+  }
+  return std::move(starts_);
+}
+
+void Plan::AddRooms() {
+  for (const auto& [id, worker] : input_.state.workers()) {
+    const auto sight = input_.sights.find(id);
+    if (sight == input_.sights.end() || !sight->second.usable) continue;
+    rooms_[worker.record.service].push_back({.worker = &worker,
+                                             .left = worker.record.capacity - worker.used,
+                                             .proven = sight->second.proven});
+  }
+}
+
+void Plan::AddCandidates(const Job& job) {
+  const Queue* queue = FindQueueByName(input_.state.configuration(), job.queue);
+  const std::int64_t objective = ObjectiveMs(job, queue);
+  for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+    const std::int64_t due = DueMs(job, occurrence);
+    if (due > input_.wall_ms) break;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      if (!IsReady(job, occurrence, step)) continue;
+      const bool lasting = job.spec.steps[step].lasting;
+      const bool hopeless = !lasting && input_.wall_ms > due + kWorthlessFactor * objective;
+      candidates_.push_back({.job = &job,
+                             .occurrence = occurrence,
+                             .step = step,
+                             .rank = {hopeless, queue == nullptr ? 0 : queue->priority,
+                                      lasting ? due : due + objective}});
+    }
+  }
+}
+
+std::int64_t Plan::DueMs(const Job& job, std::uint32_t occurrence) const {
+  if (job.spec.repeat_count == 0) return job.accepted_ms;
+  return job.spec.first_due_ms + occurrence * job.spec.interval_ms;
+}
+
+bool Plan::IsReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) const {
+  const StepRun& run = job.At(occurrence, step);
+  if (run.done + run.assigned >= run.tasks.size()) return false;
+  return std::ranges::all_of(job.spec.steps[step].depends_on, [&](std::uint32_t before) {
+    const StepRun& earlier = job.At(occurrence, before);
+    return earlier.done == earlier.tasks.size();
+  });
+}
+
+std::map<WorkerId, std::uint32_t> Plan::CountPerWorker(const Candidate& candidate) const {
+  std::map<WorkerId, std::uint32_t> counts;
+  for (const Task& task : candidate.job->At(candidate.occurrence, candidate.step).tasks) {
+    if (task.phase == TaskPhase::kAssigned) ++counts[task.worker];
+  }
+  return counts;
+}
+
+void Plan::Place(const Candidate& candidate) {
+  const Job& job = *candidate.job;
+  const Step& step = job.spec.steps[candidate.step];
+  const StepRun& run = job.At(candidate.occurrence, candidate.step);
+  if (step.gang) return PlaceGang(candidate, run);
+  std::map<WorkerId, std::uint32_t> here;
+  if (step.max_per_worker > 0) here = CountPerWorker(candidate);
+  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+    const Task& task = run.tasks[index];
+    if (task.phase != TaskPhase::kWaiting) continue;
+    if (starts_.size() >= input_.max_starts || !WithinLimit(job, step.size)) return;
+    const bool last_attempt = !step.lasting && task.failed_runs + 1 >= job.attempts;
+    Room* room = Choose(candidate, here, last_attempt);
+    if (room == nullptr) return;
+    if (step.max_per_worker > 0) ++here[room->worker->record.id];
+    Take(candidate, index, task.run + 1, *room);
+  }
+}
+
+void Plan::PlaceGang(const Candidate& candidate, const StepRun& run) {
+  if (run.assigned > 0) return;  // the last run of the gang has not ended everywhere
+  const Step& step = candidate.job->spec.steps[candidate.step];
+  const std::size_t first = starts_.size();
+  const auto rooms = rooms_;
+  const auto usage = usage_;
+  std::map<WorkerId, std::uint32_t> here;
+  std::uint32_t number = 0;
+  for (const Task& task : run.tasks) number = std::max(number, task.run);
+  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+    Room* room =
+        WithinLimit(*candidate.job, step.size) ? Choose(candidate, here, false) : nullptr;
+    if (room == nullptr) {
+      starts_.resize(first);
+      rooms_ = rooms;
+      usage_ = usage;
+      return;
+    }
+    ++here[room->worker->record.id];
+    Take(candidate, index, number + 1, *room);
+  }
+}
+
+bool Plan::WithinLimit(const Job& job, const Resources& size) const {
+  const Team* team = FindTeam(input_.state.configuration(), job.team);
+  if (team == nullptr) return true;
+  const auto used = usage_.find(job.team);
+  const Resources total = (used == usage_.end() ? Resources{} : used->second) + size;
+  const auto within = [](std::int64_t value, std::int64_t limit) {
+    return limit == 0 || value <= limit;
+  };
+  return within(total.cpu, team->limit.cpu) && within(total.memory_mb, team->limit.memory_mb) &&
+         within(total.accelerators, team->limit.accelerators);
+}
+
+Room* Plan::Choose(const Candidate& candidate, const std::map<WorkerId, std::uint32_t>& here,
+                   bool last_attempt) {
+  const Job& job = *candidate.job;
+  const Step& step = job.spec.steps[candidate.step];
+  const Queue* queue = FindQueueByName(input_.state.configuration(), job.queue);
+  const auto rooms = rooms_.find(queue == nullptr ? job.service : queue->service);
+  if (rooms == rooms_.end()) return nullptr;
+  const Resources footprint = step.footprint();
+  Room* best = nullptr;
+  std::tuple<bool, bool, std::int64_t> best_worth;
+  for (Room& room : rooms->second) {
+    const WorkerRecord& record = room.worker->record;
+    if (!footprint.FitsInto(room.left)) continue;
+    const auto& labels = record.labels;
+    if (!step.required_label.empty() &&
+        std::ranges::find(labels, step.required_label) == labels.end()) {
+      continue;
+    }
+    if (step.max_per_worker > 0) {
+      const auto count = here.find(record.id);
+      if (count != here.end() && count->second >= step.max_per_worker) continue;
+    }
+    const bool near = step.data_rack.empty() || record.rack() == step.data_rack;
+    const std::tuple worth(near, room.proven || !last_attempt, room.left.cpu);
+    if (best != nullptr && worth <= best_worth) continue;
+    best = &room;
+    best_worth = worth;
+  }
+  return best;
+}
+
+void Plan::Take(const Candidate& candidate, std::uint32_t index, std::uint32_t run, Room& room) {
+  const Job& job = *candidate.job;
+  const Step& step = job.spec.steps[candidate.step];
+  room.left -= step.footprint();
+  usage_[job.team] += step.size;
+  starts_.push_back({.task = {job.id, candidate.occurrence, candidate.step, index},
+                     .run = run,
+                     .worker = room.worker->record.id});
+}
+
+}  // namespace
+
+std::int64_t ObjectiveMs(const Job& job, const Queue* queue) {
+  const double stretch = queue == nullptr ? 1.0 : queue->stretch;
+  const std::int64_t slack = queue == nullptr ? 0 : queue->target_latency_ms;
+  return slack + static_cast<std::int64_t>(stretch * static_cast<double>(ChainMs(job.spec)));
+}
+
+std::vector<Assign> PlanStarts(const PlanInput& input) { return Plan(input).Make(); }
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/jobs/planner.h
@@ -0,0 +1,37 @@
+#ifndef GODWITPADDLE_JOBS_PLANNER_H_
+#define GODWITPADDLE_JOBS_PLANNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "jobs/state.h"
+
+/// Chooses which waiting tasks start where. A pure function of the replicated state and of what the
+/// leader has seen of the workers.
+namespace godwitpaddle::jobs {
+
+/// What the leader knows of a worker beyond the replicated state.
+struct WorkerSight {
+  bool usable = false;  // reports in, answers, is not leaving
+  bool proven = false;  // its last run that ended by itself was done
+};
+
+struct PlanInput {
+  const State& state;
+  const std::map<WorkerId, WorkerSight>& sights;
+  std::int64_t wall_ms = 0;     // Unix time
+  std::size_t max_starts = 64;  // of one plan
+};
+
+/// Milliseconds from a job's acceptance to its objective.
+std::int64_t ObjectiveMs(const Job& job, const Queue* queue);
+
+/// Starts in the order of their worth. They fit together: into the workers' room, the teams'
+/// limits and the bounds per worker.
+std::vector<Assign> PlanStarts(const PlanInput& input);
+
+}  // namespace godwitpaddle::jobs
+
+#endif  // GODWITPADDLE_JOBS_PLANNER_H_
--- /dev/null
+++ b/jobs/state.cc
@@ -0,0 +1,261 @@
+#include "jobs/state.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <variant>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+using Image = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
+                         std::map<WaveId, Wave>, std::int64_t>;
+
+[[noreturn]] void Broken(const TaskId& task, const char* what) {
+  throw StateError(FormatTask(task) + ": " + what);
+}
+
+}  // namespace
+
+ApplyOutcome State::Apply(const Command& command) {
+  return std::visit([this](const auto& one) { return ApplyOne(one); }, command);
+}
+
+std::string State::Encode() const {
+  return godwitpaddle::Encode(
+      Image(configuration_, jobs_, workers_, waves_, newest_wall_ms_));
+}
+
+void State::Decode(const std::string& bytes) {
+  Image image;
+  if (!bytes.empty()) image = godwitpaddle::Decode<Image>(bytes);
+  std::tie(configuration_, jobs_, workers_, waves_, newest_wall_ms_) = std::move(image);
+  RebuildIndexes();
+}
+
+void State::RebuildIndexes() {
+  open_jobs_.clear();
+  team_usage_.clear();
+  ended_jobs_.clear();
+  for (const auto& [id, job] : jobs_) {
+    if (job.active() || job.assigned > 0) open_jobs_.insert(id);
+    if (!job.active()) ended_jobs_.emplace(job.ended_ms, id);
+  }
+  for (const auto& [id, worker] : workers_) {
+    for (const TaskId& task : worker.tasks) {
+      const Job& job = jobs_.at(task.job);
+      team_usage_[job.team] += job.spec.steps.at(task.step).size;
+    }
+  }
+}
+
+const Job* State::FindJob(JobId id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const Worker* State::FindWorker(const WorkerId& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+const Task* State::FindTask(const TaskId& id) const {
+  return const_cast<State*>(this)->MutableTask(id);
+}
+
+Task* State::MutableTask(const TaskId& id) {
+  const auto found = jobs_.find(id.job);
+  if (found == jobs_.end()) return nullptr;
+  Job& job = found->second;
+  if (id.step >= job.spec.steps.size() || id.occurrence >= job.spec.occurrences()) return nullptr;
+  auto& tasks = job.At(id.occurrence, id.step).tasks;
+  return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
+ApplyOutcome State::ApplyOne(const Configure& command) {
+  if (command.configuration.version > configuration_.version) {
+    configuration_ = command.configuration;
+  }
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const Submit& command) {
+  DropOldJobs(command.wall_ms);
+  const Queue* queue = FindQueueByName(configuration_, command.queue);
+  if (queue == nullptr) return ApplyOutcome::kNoQueue;
+  const Team* team = FindTeamByKey(configuration_, command.key);
+  if (team == nullptr && !queue->open) return ApplyOutcome::kBadKey;
+  if (jobs_.contains(command.job)) return ApplyOutcome::kApplied;
+  if (jobs_.size() >= options_.max_jobs) return ApplyOutcome::kFull;
+  Job& job = jobs_[command.job];
+  job.id = command.job;
+  job.queue = command.queue;
+  job.service = queue->service;
+  if (team != nullptr && !queue->open) job.team = team->name;
+  job.attempts = std::max(1U, queue->attempts);
+  job.spec = command.spec;
+  job.accepted_ms = command.wall_ms;
+  for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+    for (const Step& step : job.spec.steps) {
+      job.steps.emplace_back().tasks.resize(step.count);
+    }
+  }
+  open_jobs_.insert(command.job);
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const Cancel& command) {
+  const auto found = jobs_.find(command.job);
+  if (found == jobs_.end()) return ApplyOutcome::kNoSuchJob;
+  if (found->second.active()) EndJob(found->second, JobPhase::kCancelled, command.wall_ms);
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const Assign& command) {
+  Task* task = MutableTask(command.task);
+  const auto worker = workers_.find(command.worker);
+  if (task == nullptr || worker == workers_.end()) return ApplyOutcome::kRejected;
+  Job& job = jobs_.at(command.task.job);
+  if (!job.active() || task->phase != TaskPhase::kWaiting || command.run <= task->run) {
+    return ApplyOutcome::kRejected;
+  }
+  task->phase = TaskPhase::kAssigned;
+  task->run = command.run;
+  task->worker = command.worker;
+  const Step& step = job.spec.steps[command.task.step];
+  if (!worker->second.tasks.insert(command.task).second) Broken(command.task, "runs twice");
+  worker->second.used += step.footprint();
+  team_usage_[job.team] += step.size;
+  ++job.At(command.task.occurrence, command.task.step).assigned;
+  ++job.assigned;
+  job.phase = JobPhase::kRunning;
+  return ApplyOutcome::kApplied;
+}
+
+void State::Release(Job& job, const TaskId& id, Task& task) {
+  const auto worker = workers_.find(task.worker);
+  if (worker == workers_.end() || worker->second.tasks.erase(id) == 0) {
+    Broken(id, "is assigned to a worker that does not have it");
+  }
+  const Step& step = job.spec.steps[id.step];
+  worker->second.used -= step.footprint();
+  team_usage_[job.team] -= step.size;
+  --job.At(id.occurrence, id.step).assigned;
+  --job.assigned;
+  task.worker.clear();
+  task.phase = TaskPhase::kWaiting;
+}
+
+ApplyOutcome State::ApplyOne(const NoteEnd& command) {
+  const auto worker = workers_.find(command.worker);
+  if (worker == workers_.end()) return ApplyOutcome::kRejected;
+  if (command.number != 0) {
+    if (worker->second.record.born_ms != command.born_ms) return ApplyOutcome::kRejected;
+    if (command.number <= worker->second.noted_ends) return ApplyOutcome::kRejected;
+    worker->second.noted_ends = command.number;
+  }
+  Task* task = MutableTask(command.task);
+  if (task == nullptr || task->phase != TaskPhase::kAssigned || task->run != command.run ||
+      task->worker != command.worker) {
+    return ApplyOutcome::kApplied;  // an end of a run that was concluded before
+  }
+  Job& job = jobs_.at(command.task.job);
+  Release(job, command.task, *task);
+  Conclude(job, command.task, *task, command);
+  if (!job.active() && job.assigned == 0) Close(job);
+  return ApplyOutcome::kApplied;
+}
+
+void State::Close(Job& job) {
+  open_jobs_.erase(job.id);
+  job.spec = {};
+  job.steps = {};
+}
+
+void State::Conclude(Job& job, const TaskId& id, Task& task, const NoteEnd& end) {
+  const Step& step = job.spec.steps[id.step];
+  if (!end.checkpoint.empty() && step.checkpoints) task.checkpoint = end.checkpoint;
+  if (end.how == EndKind::kFailed) ++task.failed_runs;
+  if (!job.active() || step.lasting) return;
+  if (end.how == EndKind::kFailed && task.failed_runs >= job.attempts) {
+    EndJob(job, JobPhase::kFailed, end.wall_ms);
+    return;
+  }
+  if (end.how != EndKind::kDone) return;
+  task.phase = TaskPhase::kDone;
+  StepRun& run = job.At(id.occurrence, id.step);
+  ++run.done;
+  if (step.gang) CompleteGang(job, id);
+  const bool completed = std::ranges::all_of(
+      job.steps, [](const StepRun& one) { return one.done == one.tasks.size(); });
+  if (completed) EndJob(job, JobPhase::kCompleted, end.wall_ms);
+}
+
+void State::CompleteGang(Job& job, const TaskId& id) {
+  StepRun& run = job.At(id.occurrence, id.step);
+  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+    Task& task = run.tasks[index];
+    if (task.phase == TaskPhase::kDone) continue;
+    const TaskId other{id.job, id.occurrence, id.step, index};
+    if (task.phase == TaskPhase::kAssigned) Release(job, other, task);
+    task.phase = TaskPhase::kDone;
+    ++run.done;
+  }
+}
+
+void State::EndJob(Job& job, JobPhase phase, std::int64_t wall_ms) {
+  job.phase = phase;
+  job.ended_ms = std::max(wall_ms, newest_wall_ms_);
+  ended_jobs_.emplace(job.ended_ms, job.id);
+  if (job.assigned == 0) Close(job);
+}
+
+void State::DropOldJobs(std::int64_t wall_ms) {
+  newest_wall_ms_ = std::max(newest_wall_ms_, wall_ms);
+  while (!ended_jobs_.empty() &&
+         ended_jobs_.begin()->first + options_.keep_ended_ms < newest_wall_ms_) {
+    const JobId id = ended_jobs_.begin()->second;
+    if (jobs_.at(id).assigned > 0) break;  // its stops are still under way
+    ended_jobs_.erase(ended_jobs_.begin());
+    jobs_.erase(id);
+  }
+}
+
+ApplyOutcome State::ApplyOne(const NoteWorker& command) {
+  Worker& worker = workers_[command.record.id];
+  if (command.record.born_ms < worker.record.born_ms) return ApplyOutcome::kRejected;
+  if (command.record.born_ms > worker.record.born_ms) worker.noted_ends = 0;
+  worker.record = command.record;
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const ForgetWorker& command) {
+  const auto worker = workers_.find(command.worker);
+  if (worker == workers_.end() || worker->second.record.born_ms != command.born_ms ||
+      !worker->second.tasks.empty()) {
+    return ApplyOutcome::kRejected;
+  }
+  workers_.erase(worker);
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const StartWave& command) {
+  if (waves_.contains(command.wave)) return ApplyOutcome::kApplied;
+  Wave& wave = waves_[command.wave];
+  wave.vms = command.vms;
+  std::ranges::sort(wave.vms);
+  wave.vms.erase(std::unique(wave.vms.begin(), wave.vms.end()), wave.vms.end());
+  wave.duration_ms = command.duration_ms;
+  wave.max_down = std::max(1U, command.max_down);
+  wave.started_ms = command.wall_ms;
+  return ApplyOutcome::kApplied;
+}
+
+ApplyOutcome State::ApplyOne(const NoteMaintained& command) {
+  const auto wave = waves_.find(command.wave);
+  if (wave == waves_.end()) return ApplyOutcome::kRejected;
+  wave->second.begun.insert(command.vm);
+  return ApplyOutcome::kApplied;
+}
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/jobs/state.h
@@ -0,0 +1,148 @@
+#ifndef GODWITPADDLE_JOBS_STATE_H_
+#define GODWITPADDLE_JOBS_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "jobs/commands.h"
+#include "jobs/types.h"
+
+namespace godwitpaddle::jobs {
+
+enum class TaskPhase : std::uint8_t { kWaiting, kAssigned, kDone };
+
+struct Task {
+  TaskPhase phase = TaskPhase::kWaiting;
+  std::uint32_t run = 0;          // of the last start; 0: none
+  std::uint32_t failed_runs = 0;  // ends `failed` that were noted
+  WorkerId worker;                // while assigned
+  std::string checkpoint;
+  MSGPACK_DEFINE(phase, run, failed_runs, worker, checkpoint)
+};
+
+/// One step of one occurrence.
+struct StepRun {
+  std::vector<Task> tasks;
+  std::uint32_t done = 0;
+  std::uint32_t assigned = 0;
+  MSGPACK_DEFINE(tasks, done, assigned)
+};
+
+struct Job {
+  JobId id = 0;
+  std::string queue;
+  std::string service;  // of the queue at acceptance, for a queue that is removed later
+  std::string team;     // empty on open queues
+  std::uint32_t attempts = 1;
+  JobSpec spec;
+  JobPhase phase = JobPhase::kQueued;
+  std::int64_t accepted_ms = 0;        // Unix time
+  std::int64_t ended_ms = 0;           // Unix time; 0 while it goes on
+  std::vector<StepRun> steps;          // occurrence by occurrence
+  std::uint32_t assigned = 0;          // tasks that may be running
+  MSGPACK_DEFINE(id, queue, service, team, attempts, spec, phase, accepted_ms, ended_ms, steps,
+                 assigned)
+
+  bool active() const { return phase == JobPhase::kQueued || phase == JobPhase::kRunning; }
+  StepRun& At(std::uint32_t occurrence, std::uint32_t step) {
+    return steps.at(occurrence * spec.steps.size() + step);
+  }
+  const StepRun& At(std::uint32_t occurrence, std::uint32_t step) const {
+    return steps.at(occurrence * spec.steps.size() + step);
+  }
+};
+
+struct Worker {
+  WorkerRecord record;
+  std::uint64_t noted_ends = 0;  // the worker may forget its ends up to this one
+  std::set<TaskId> tasks;        // assigned to it
+  Resources used;                // by these tasks
+  MSGPACK_DEFINE(record, noted_ends, tasks, used)
+};
+
+struct Wave {
+  std::vector<VmId> vms;
+  std::set<VmId> begun;  // maintained, being maintained, or gone
+  std::int64_t duration_ms = 0;
+  std::uint32_t max_down = 1;
+  std::int64_t started_ms = 0;  // Unix time
+  MSGPACK_DEFINE(vms, begun, duration_ms, max_down, started_ms)
+
+  bool completed() const { return begun.size() >= vms.size(); }
+};
+
+/// The state contradicts itself; the process must not act on it.
+class StateError : public std::logic_error {
+ public:
+  using std::logic_error::logic_error;
+};
+
+struct StateOptions {
+  std::int64_t keep_ended_ms = 120'000;  // how long ended jobs can be asked for
+  std::size_t max_jobs = 60'000;
+};
+
+/// The replicated state: configuration, jobs, workers, waves. Deterministic.
+class State {
+ public:
+  explicit State(StateOptions options = {}) : options_(options) {}
+
+  /// Throws StateError when an invariant does not hold.
+  ApplyOutcome Apply(const Command& command);
+
+  std::string Encode() const;
+  void Decode(const std::string& bytes);
+
+  const Configuration& configuration() const { return configuration_; }
+  const std::map<JobId, Job>& jobs() const { return jobs_; }
+  const Job* FindJob(JobId id) const;
+  const Task* FindTask(const TaskId& id) const;
+  /// Jobs that are not ended or still have assigned tasks.
+  const std::set<JobId>& open_jobs() const { return open_jobs_; }
+  const std::map<WorkerId, Worker>& workers() const { return workers_; }
+  const Worker* FindWorker(const WorkerId& id) const;
+  const std::map<WaveId, Wave>& waves() const { return waves_; }
+  const std::map<std::string, Resources>& team_usage() const { return team_usage_; }
+
+ private:
+  ApplyOutcome ApplyOne(const Configure& command);
+  ApplyOutcome ApplyOne(const Submit& command);
+  ApplyOutcome ApplyOne(const Cancel& command);
+  ApplyOutcome ApplyOne(const Assign& command);
+  ApplyOutcome ApplyOne(const NoteEnd& command);
+  ApplyOutcome ApplyOne(const NoteWorker& command);
+  ApplyOutcome ApplyOne(const ForgetWorker& command);
+  ApplyOutcome ApplyOne(const StartWave& command);
+  ApplyOutcome ApplyOne(const NoteMaintained& command);
+
+  Task* MutableTask(const TaskId& id);
+  void Release(Job& job, const TaskId& id, Task& task);
+  void Conclude(Job& job, const TaskId& id, Task& task, const NoteEnd& end);
+  void CompleteGang(Job& job, const TaskId& id);
+  void EndJob(Job& job, JobPhase phase, std::int64_t wall_ms);
+  /// Nothing of an ended job runs any more: only its phase is kept.
+  void Close(Job& job);
+  void DropOldJobs(std::int64_t wall_ms);
+  void RebuildIndexes();
+
+  StateOptions options_;
+  Configuration configuration_;
+  std::map<JobId, Job> jobs_;
+  std::map<WorkerId, Worker> workers_;
+  std::map<WaveId, Wave> waves_;
+  std::int64_t newest_wall_ms_ = 0;
+  // Derived from the above.
+  std::set<JobId> open_jobs_;
+  std::map<std::string, Resources> team_usage_;
+  std::set<std::pair<std::int64_t, JobId>> ended_jobs_;
+};
+
+}  // namespace godwitpaddle::jobs
+
+MSGPACK_ADD_ENUM(godwitpaddle::jobs::TaskPhase)
+
+#endif  // GODWITPADDLE_JOBS_STATE_H_
--- a/node/messages.h
+++ b/node/messages.h
@@ -12,6 +12,7 @@
 #include "decision/commands.h"
 #include "decision/planners.h"
 #include "decision/pool_scheduler.h"
+#include "jobs/calls.h"
 #include "replication/messages.h"
 
 namespace godwitpaddle {
@@ -181,7 +182,8 @@
 using PeerMessage =
     std::variant<ReplicationFrame, Join, JoinReply, LeaseRenew, LeaseGrant, Forward, ForwardAnswer,
                  ForwardAccepted, ForwardCancel, ForwardQuery, AnnounceRelay, AnnounceReply,
-                 Propose, ProposeReply, StatusQuery, StatusReply>;
+                 Propose, ProposeReply, StatusQuery, StatusReply, jobs::LeaderQuery,
+                 jobs::LeaderInfo, jobs::CallRequest, jobs::CallReply>;
 
 }  // namespace godwitpaddle
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -199,6 +199,11 @@
   void Handle(const ProposeReply& reply) { admin.OnReply(reply); }
   void Handle(const StatusQuery& query) { leader.OnStatusQuery(query); }
   void Handle(const StatusReply& reply) { admin.OnStatus(reply); }
+  // Messages of job control are for the nodes in control/.
+  void Handle(const jobs::LeaderQuery&) {}
+  void Handle(const jobs::LeaderInfo&) {}
+  void Handle(const jobs::CallRequest&) {}
+  void Handle(const jobs::CallReply&) {}
 
   // ---- events ----
 
--- a/replication/storage.cc
+++ b/replication/storage.cc
@@ -99,12 +99,13 @@
 }  // namespace
 
 struct FileStorage::Impl {
-  explicit Impl(const std::string& data_folder);
+  Impl(const std::string& data_folder, ReplicaId new_id);
 
   std::string Path(std::string_view name) const { return folder + "/" + std::string(name); }
   void Scan();
-  void LoadIdentity();
+  void LoadIdentity(ReplicaId new_id);
   void LoadState();
+  void DropBeforeGap();
   void ReplaySegment(Segment& segment, bool is_last);
   void Replay(const std::string& path, std::size_t offset, LogRecord record);
   void DropWhatSnapshotCovers();
@@ -138,10 +139,10 @@
 
 }  // namespace
 
-FileStorage::Impl::Impl(const std::string& data_folder)
+FileStorage::Impl::Impl(const std::string& data_folder, ReplicaId new_id)
     : folder(data_folder), lock(OpenLock(data_folder)) {
   Scan();
-  LoadIdentity();
+  LoadIdentity(std::move(new_id));
   LoadState();
   if (segments.empty()) {
     StartSegment();
@@ -174,7 +175,7 @@
             [](const Segment& a, const Segment& b) { return a.number < b.number; });
 }
 
-void FileStorage::Impl::LoadIdentity() {
+void FileStorage::Impl::LoadIdentity(ReplicaId new_id) {
   if (has_identity) {
     id = ReadWhole<std::string>(Path(kIdentityName));
     return;
@@ -182,7 +183,7 @@
   if (has_hard_state || !snapshots.empty() || !segments.empty()) {
     throw StorageError(Path(kIdentityName) + ": missing, but the folder holds data");
   }
-  id = RandomId();
+  id = new_id.empty() ? RandomId() : std::move(new_id);
   ReplaceFile(folder, std::string(kIdentityName), EncodeFrame(Encode(id)));
 }
 
@@ -196,6 +197,7 @@
     stored.snapshot = ReadWhole<Snapshot>(Path(NumberedName(kSnapshotPrefix, snapshots.back())));
     snapshot_index = stored.snapshot->index;
   }
+  DropBeforeGap();
   for (std::size_t i = 0; i < segments.size(); ++i) {
     if (i > 0 && segments[i].number != segments[i - 1].number + 1) {
       throw StorageError(Path(NumberedName(kSegmentPrefix, segments[i - 1].number + 1)) +
@@ -206,6 +208,21 @@
   DropWhatSnapshotCovers();
 }
 
+/// Segments that a snapshot covers are removed one by one; after a loss of power each removal may be
+/// undone by itself. The entries behind the last gap are checked against the snapshot.
+void FileStorage::Impl::DropBeforeGap() {
+  if (!stored.snapshot) return;
+  std::size_t keep = 0;
+  for (std::size_t i = 1; i < segments.size(); ++i) {
+    if (segments[i].number != segments[i - 1].number + 1) keep = i;
+  }
+  std::error_code ignored;
+  for (std::size_t i = 0; i < keep; ++i) {
+    std::filesystem::remove(Path(NumberedName(kSegmentPrefix, segments[i].number)), ignored);
+  }
+  segments.erase(segments.begin(), segments.begin() + static_cast<std::ptrdiff_t>(keep));
+}
+
 void FileStorage::Impl::ReplaySegment(Segment& entry, bool is_last) {
   const std::string path = Path(NumberedName(kSegmentPrefix, entry.number));
   File file(path, O_RDWR);
@@ -292,7 +309,8 @@
   }
 }
 
-FileStorage::FileStorage(const std::string& folder) : impl_(std::make_unique<Impl>(folder)) {}
+FileStorage::FileStorage(const std::string& folder, ReplicaId new_id)
+    : impl_(std::make_unique<Impl>(folder, std::move(new_id))) {}
 
 FileStorage::~FileStorage() = default;
 
--- a/replication/storage.h
+++ b/replication/storage.h
@@ -19,11 +19,12 @@
 /// folder stays locked while the object lives. One thread at a time.
 class FileStorage {
  public:
-  /// Opens or creates the folder. Throws StorageError.
-  explicit FileStorage(const std::string& folder);
+  /// Opens or creates the folder. A new folder gets `new_id`, or a random id when it is empty.
+  /// Throws StorageError.
+  explicit FileStorage(const std::string& folder, ReplicaId new_id = {});
   ~FileStorage();
 
-  /// Random id written when the folder was created.
+  /// The id written when the folder was created.
   const ReplicaId& replica_id() const;
   /// What the folder held when it was opened. A torn tail has been cut; other damage throws at
   /// opening.
--- a/runtime/log.cc
+++ b/runtime/log.cc
@@ -1,11 +1,14 @@
 #include "runtime/log.h"
 
 #include <glog/logging.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <mutex>
 
 #include "runtime/clock.h"
 
@@ -49,6 +52,44 @@
   return google::GLOG_ERROR;
 }
 
+/// Lines that may leave within one second; what is beyond is counted.
+constexpr int kLinesPerSecond = 400;
+constexpr std::size_t kLongestLine = 4'096;  // a pipe that is writable takes this without waiting
+
+/// Writes lines to standard output.
+class OutputSink : public google::LogSink {
+ public:
+  void send(google::LogSeverity /*severity*/, const char* /*file*/, const char* /*base*/,
+            int /*line*/, const google::LogMessageTime& /*time*/, const char* message,
+            std::size_t length) override {
+    const std::lock_guard lock(mutex_);
+    const Micros now = MonotonicNow();
+    if (now - second_began_ >= kSecond) {
+      second_began_ = now;
+      lines_ = 0;
+      if (dropped_ > 0) Write("event=log_lines_dropped count=" + std::to_string(dropped_));
+      dropped_ = 0;
+    }
+    if (++lines_ > kLinesPerSecond || !Write(std::string(message, length))) ++dropped_;
+  }
+
+ private:
+  static bool Write(std::string line) {
+    line.resize(std::min(line.size(), kLongestLine - 1));
+    line += '\n';
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT};
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) return false;
+    return write(STDOUT_FILENO, line.data(), line.size()) > 0;
+  }
+
+  std::mutex mutex_;
+  Micros second_began_ = 0;
+  int lines_ = 0;
+  std::uint64_t dropped_ = 0;
+};
+
+OutputSink* output_sink = nullptr;  // lives as long as the process
+
 }  // namespace
 
 void StartLog(const LogOptions& options, const std::string& program) {
@@ -57,15 +98,21 @@
   FLAGS_logtostderr = options.folder.empty();
   FLAGS_log_dir = options.folder;
   google::InitGoogleLogging(program.c_str());
+  if (options.standard_output) output_sink = new OutputSink;
 }
 
 void LogEvent(Severity severity, std::string_view event,
               const std::vector<std::pair<std::string, std::string>>& fields) {
   const google::LogSeverity level = GlogLevel(severity);
   if (level < FLAGS_minloglevel) return;
-  google::LogMessage(__FILE__, __LINE__, level).stream()
-      << "time=" << FormatWall(WallNow()) << " level=" << NameOf(kSeverityNames, severity) << ' '
-      << FormatEvent(event, fields);
+  const std::string line = "time=" + FormatWall(WallNow()) +
+                           " level=" + std::string(NameOf(kSeverityNames, severity)) + ' ' +
+                           FormatEvent(event, fields);
+  if (output_sink != nullptr) {
+    google::LogMessage(__FILE__, __LINE__, level, output_sink, false).stream() << line;
+  } else {
+    google::LogMessage(__FILE__, __LINE__, level).stream() << line;
+  }
 }
 
 void FlushLog() { google::FlushLogFiles(google::GLOG_INFO); }
--- a/runtime/log.h
+++ b/runtime/log.h
@@ -14,6 +14,7 @@
 struct LogOptions {
   Severity level = Severity::kInfo;  // events below it are not written
   std::string folder;                // empty: standard error
+  bool standard_output = false;      // instead of both; bounded, and never waits for a reader
 };
 
 /// Sets up the log of the process. Call once, before the first event.
--- /dev/null
+++ b/runtime/object_reader.cc
@@ -0,0 +1,55 @@
+#include "runtime/object_reader.h"
+
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+#include "runtime/address.h"
+
+namespace godwitpaddle::detail {
+namespace {
+
+/// A parser callback that refuses repeated keys, of which the parser would keep the last.
+Json::parser_callback_t RefuseRepeats() {
+  return [open = std::vector<std::set<std::string>>()](int /*depth*/, Json::parse_event_t event,
+                                                       Json& parsed) mutable {
+    if (event == Json::parse_event_t::object_start) {
+      open.emplace_back();
+    } else if (event == Json::parse_event_t::object_end) {
+      open.pop_back();
+    } else if (event == Json::parse_event_t::key) {
+      if (!open.back().insert(parsed.get<std::string>()).second) {
+        throw SettingsError(parsed.get<std::string>() + " is given twice");
+      }
+    }
+    return true;
+  };
+}
+
+}  // namespace
+
+std::string CheckedAddress(const std::string& text, const std::string& path) {
+  try {
+    ParseAddress(text);
+    return text;
+  } catch (const std::invalid_argument& error) {
+    throw SettingsError(path + ": " + error.what());
+  }
+}
+
+Json ParseCommentedJson(const std::string& text) {
+  try {
+    return Json::parse(text, RefuseRepeats(), true, true);
+  } catch (const Json::exception& error) {
+    throw SettingsError(std::string("not JSON: ") + error.what());
+  }
+}
+
+std::string ReadSettingsText(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::ostringstream text;
+  if (!stream || !(text << stream.rdbuf())) throw SettingsError("cannot read " + file);
+  return text.str();
+}
+
+}  // namespace godwitpaddle::detail
--- a/runtime/settings.cc
+++ b/runtime/settings.cc
@@ -2,104 +2,15 @@
 
 #include <algorithm>
 #include <cctype>
-#include <fstream>
-#include <nlohmann/json.hpp>
-#include <set>
-#include <sstream>
-#include <utility>
 
-#include "runtime/address.h"
+#include "runtime/object_reader.h"
 
 namespace godwitpaddle {
 namespace {
 
-using Json = nlohmann::json;
-
-/// Reads the keys of one object and remembers which are known.
-class ObjectReader {
- public:
-  ObjectReader(const Json& object, std::string path) : object_(object), path_(std::move(path)) {
-    if (!object.is_object()) throw SettingsError(Name() + " must be an object");
-  }
-
-  std::string Path(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
-
-  const Json* Find(const std::string& key) {
-    known_.insert(key);
-    const auto found = object_.find(key);
-    return found == object_.end() ? nullptr : &*found;
-  }
-
-  const Json& Need(const std::string& key) {
-    const Json* value = Find(key);
-    if (value == nullptr) throw SettingsError(Path(key) + " is missing");
-    return *value;
-  }
-
-  std::string Text(const std::string& key) { return AsText(Need(key), Path(key)); }
-
-  void Optional(const std::string& key, std::string& value) {
-    if (const Json* found = Find(key)) value = AsText(*found, Path(key));
-  }
-
-  void Optional(const std::string& key, std::int64_t& value, std::int64_t low, std::int64_t high) {
-    const Json* found = Find(key);
-    if (found == nullptr) return;
-    if (!found->is_number_integer()) throw SettingsError(Path(key) + " must be an integer");
-    value = found->get<std::int64_t>();
-    if (value < low || value > high) {
-      throw SettingsError(Path(key) + " must be between " + std::to_string(low) + " and " +
-                          std::to_string(high));
-    }
-  }
-
-  /// Throws for the first key that was not asked for.
-  void Finish() const {
-    for (const auto& [key, value] : object_.items()) {
-      if (!known_.contains(key)) throw SettingsError(Path(key) + " is not a known key");
-    }
-  }
-
-  static std::string AsText(const Json& value, const std::string& path) {
-    if (!value.is_string()) throw SettingsError(path + " must be a string");
-    auto text = value.get<std::string>();
-    if (text.empty()) throw SettingsError(path + " must not be empty");
-    return text;
-  }
-
- private:
-  std::string Name() const { return path_.empty() ? "the file" : path_; }
-
-  const Json& object_;
-  const std::string path_;
-  std::set<std::string> known_;
-};
-
-std::string Address(const std::string& text, const std::string& path) {
-  try {
-    ParseAddress(text);
-    return text;
-  } catch (const std::invalid_argument& error) {
-    throw SettingsError(path + ": " + error.what());
-  }
-}
-
-/// A parser callback that refuses repeated keys, of which the parser would keep the last.
-Json::parser_callback_t RefuseRepeats() {
-  return [open = std::vector<std::set<std::string>>()](int /*depth*/, Json::parse_event_t event,
-                                                       Json& parsed) mutable {
-    if (event == Json::parse_event_t::object_start) {
-      open.emplace_back();
-    } else if (event == Json::parse_event_t::object_end) {
-      open.pop_back();
-    } else if (event == Json::parse_event_t::key) {
-      if (!open.back().insert(parsed.get<std::string>()).second) {
-        throw SettingsError(parsed.get<std::string>() + " is given twice");
-      }
-    }
-    return true;
-  };
-}
+using detail::CheckedAddress;
+using detail::Json;
+using detail::ObjectReader;
 
 /// Node names are part of task ids and so of URLs.
 std::string NodeName(const std::string& name) {
@@ -115,7 +26,7 @@
   std::vector<std::string> seeds;
   for (const Json& seed : list) {
     const std::string place = path + "[" + std::to_string(seeds.size()) + "]";
-    seeds.push_back(Address(ObjectReader::AsText(seed, place), place));
+    seeds.push_back(CheckedAddress(ObjectReader::AsText(seed, place), place));
   }
   return seeds;
 }
@@ -123,7 +34,7 @@
 PlatformSettings ReadPlatform(const Json& json, const std::string& path) {
   ObjectReader reader(json, path);
   PlatformSettings platform{.adapter = reader.Text("adapter")};
-  platform.address = Address(reader.Text("address"), reader.Path("address"));
+  platform.address = CheckedAddress(reader.Text("address"), reader.Path("address"));
   reader.Finish();
   return platform;
 }
@@ -162,8 +73,8 @@
   settings.node = NodeName(reader.Text("node"));
   settings.region = reader.Text("region");
   settings.zone = reader.Text("zone");
-  settings.peer_address = Address(reader.Text("peer_address"), "peer_address");
-  settings.http_address = Address(reader.Text("http_address"), "http_address");
+  settings.peer_address = CheckedAddress(reader.Text("peer_address"), "peer_address");
+  settings.http_address = CheckedAddress(reader.Text("http_address"), "http_address");
   settings.seeds = ReadSeeds(reader.Need("seeds"), "seeds");
   if (reader.Find("data_folder") != nullptr) settings.data_folder = reader.Text("data_folder");
   if (const Json* platform = reader.Find("platform")) {
@@ -179,21 +90,10 @@
 
 }  // namespace
 
-Settings ParseSettings(const std::string& text) {
-  Json json;
-  try {
-    json = Json::parse(text, RefuseRepeats(), true, true);
-  } catch (const Json::exception& error) {
-    throw SettingsError(std::string("not JSON: ") + error.what());
-  }
-  return ReadObject(json);
-}
+Settings ParseSettings(const std::string& text) { return ReadObject(detail::ParseCommentedJson(text)); }
 
 Settings ReadSettings(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  std::ostringstream text;
-  if (!stream || !(text << stream.rdbuf())) throw SettingsError("cannot read " + file);
-  return ParseSettings(text.str());
+  return ParseSettings(detail::ReadSettingsText(file));
 }
 
 }  // namespace godwitpaddle
