--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -164,7 +164,8 @@
   const auto view = views_.find(found->worker);
   if (view == views_.end()) return false;
   const auto run = view->second.runs.find(task);
-  return run != view->second.runs.end() && run->second.percent >= 100;
+  return run != view->second.runs.end() && run->second.percent >= 100 &&
+         !run->second.stop_wanted && !run->second.end_proposed;
 }
 
 // ---- what took effect ----
