--- a/control/core_node.cc
+++ b/control/core_node.cc
@@ -96,9 +96,7 @@
 
 void CoreNode::Handle(const HttpClosedEvent& event) { gateway_.OnClosed(event.connection); }
 
-void CoreNode::Handle(const OrderEvent& event) {
-  leader_.OnOrderReply(event, now_, wall_, out_);
-}
+void CoreNode::Handle(const OrderEvent& event) { leader_.OnOrderReply(event, now_, wall_, out_); }
 
 void CoreNode::Handle(const VmEvent& event) { leader_.OnVmReply(event, now_, wall_, out_); }
 
@@ -185,10 +183,11 @@
   if (effects.persist) out_.Add(PersistEffect{.batch = std::move(*effects.persist)});
   for (replication::Envelope& envelope : effects.send) {
     if (envelope.address.empty()) continue;
-    out_.Send(std::move(envelope.address), ReplicationFrame{.group = kGroup,
-                                                            .from = replica_id_,
-                                                            .to = std::move(envelope.to),
-                                                            .message = std::move(envelope.message)});
+    out_.Send(std::move(envelope.address),
+              ReplicationFrame{.group = kGroup,
+                               .from = replica_id_,
+                               .to = std::move(envelope.to),
+                               .message = std::move(envelope.message)});
   }
   if (effects.install) {
     state_.Decode(effects.install->state);
@@ -264,8 +263,7 @@
   for (const auto& [id, member] : replica_.membership()) others.insert(member.address);
   others.erase(options_.peer_address);
   if (others.empty()) return;
-  SendJoin(*std::next(others.begin(),
-                      static_cast<std::ptrdiff_t>(next_seed_++ % others.size())));
+  SendJoin(*std::next(others.begin(), static_cast<std::ptrdiff_t>(next_seed_++ % others.size())));
 }
 
 }  // namespace godwitpaddle::jobs
--- a/control/core_node.h
+++ b/control/core_node.h
@@ -25,8 +25,8 @@
   LeaderOptions leader;
 };
 
-/// What a seed that starts with an empty disk at the first start of the whole system stores: a group
-/// of all seeds. Every seed computes the same one, so that none has to be first.
+/// What a seed that starts with an empty disk at the first start of the whole system stores: a
+/// group of all seeds. Every seed computes the same one, so that none has to be first.
 replication::StoredState FirstGroup(const std::vector<std::string>& seeds);
 /// The replica id that FirstGroup gives to the seed at `address`.
 replication::ReplicaId FirstReplicaId(const std::string& address);
--- a/control/gateway.cc
+++ b/control/gateway.cc
@@ -53,10 +53,10 @@
 
 void Gateway::Send(std::uint64_t id, Waiting& waiting, Outbox& out) const {
   waiting.sent_term = term_;
-  out.Send(leader_, CallRequest{.id = id,
-                                .reply_address = options_.own_address,
-                                .term = term_,
-                                .call = waiting.call});
+  out.Send(
+      leader_,
+      CallRequest{
+          .id = id, .reply_address = options_.own_address, .term = term_, .call = waiting.call});
 }
 
 void Gateway::OnReply(const CallReply& reply, Outbox& out) {
@@ -92,8 +92,7 @@
 }
 
 void Gateway::OnClosed(std::uint64_t connection) {
-  std::erase_if(calls_,
-                [&](const auto& entry) { return entry.second.connection == connection; });
+  std::erase_if(calls_, [&](const auto& entry) { return entry.second.connection == connection; });
 }
 
 void Gateway::Ask(const std::string& address, Outbox& out) const {
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -8,8 +8,8 @@
 namespace godwitpaddle::jobs {
 namespace {
 
-constexpr Micros kPlanPause = 5 * kMillisecond;      // ends and jobs that arrive together share a plan
-constexpr Micros kPlanPeriod = 100 * kMillisecond;   // due times and rests pass without an event
+constexpr Micros kPlanPause = 5 * kMillisecond;  // ends and jobs that arrive together share a plan
+constexpr Micros kPlanPeriod = 100 * kMillisecond;  // due times and rests pass without an event
 constexpr Micros kFleetTick = 5 * kMillisecond;
 constexpr std::int64_t kConfigureRetryS = 1;
 
@@ -48,8 +48,10 @@
     : options_(std::move(options)),
       state_(state),
       fleet_(options_.fleet, state, [this](Command command) { Propose(std::move(command)); }),
-      maintenance_(options_.maintenance, state, fleet_,
-                   [this](Command command) { Propose(std::move(command)); }) {}
+      desk_(options_.desk),
+      maintenance_(options_.maintenance, state, fleet_, desk_,
+                   [this](Command command) { Propose(std::move(command)); }),
+      pools_(options_.pools, state, fleet_, desk_, maintenance_, demand_) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, Outbox& out) {
   term_ = term;
@@ -57,7 +59,9 @@
   askers_.clear();
   starts_in_log_ = 0;
   fleet_.BeginTerm(term, now);
-  maintenance_.BeginTerm(term, now);
+  desk_.BeginTerm(term, now);
+  maintenance_.BeginTerm(now);
+  pools_.BeginTerm();
   plan_due_ = true;
   out.Log("leadership_began", {{"term", std::to_string(term)},
                                {"configuration", std::to_string(state_.configuration().version)},
@@ -72,7 +76,7 @@
   proposals_.clear();
   askers_.clear();
   fleet_.EndTerm();
-  maintenance_.EndTerm();
+  desk_.EndTerm();
 }
 
 // ---- proposals ----
@@ -113,6 +117,11 @@
     askers_.erase(asker);
   }
   if (std::holds_alternative<Assign>(command) && starts_in_log_ > 0) --starts_in_log_;
+  if (const auto* submit = std::get_if<Submit>(&command)) {
+    const Job* job = state_.FindJob(submit->job);
+    if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
+  }
+  if (const auto* end = std::get_if<NoteEnd>(&command)) LearnRunTime(*end, now);
   fleet_.OnApplied(command, outcome, now, out);
   if (const auto* cancel = std::get_if<Cancel>(&command)) StopEndedJob(cancel->job, now, out);
   if (const auto* end = std::get_if<NoteEnd>(&command)) StopEndedJob(end->task.job, now, out);
@@ -124,6 +133,14 @@
   plan_due_ = true;
 }
 
+void Leader::LearnRunTime(const NoteEnd& end, Micros now) {
+  if (end.how != EndKind::kDone) return;
+  const Job* job = state_.FindJob(end.task.job);
+  const auto time = fleet_.RunTime(end.task, end.run, now);
+  if (job == nullptr || !time || end.task.step >= job->spec.steps.size()) return;
+  demand_.OnDone(job->service, job->spec.steps[end.task.step].estimate_ms, *time / kMillisecond);
+}
+
 void Leader::StopEndedJob(JobId id, Micros now, Outbox& out) {
   const Job* job = state_.FindJob(id);
   if (job == nullptr || job->active() || job->assigned == 0) return;
@@ -168,7 +185,8 @@
   if (known == nullptr || known->queue != queue->name) {
     return Reply(asker, Refusal(AnswerCode::kGone, "no such job"), out);
   }
-  out.Log("job_cancelled", {{"job", rest}, {"phase", std::string(NameOf(kJobPhaseNames, known->phase))}});
+  out.Log("job_cancelled",
+          {{"job", rest}, {"phase", std::string(NameOf(kJobPhaseNames, known->phase))}});
   ProposeFor(Cancel{.job = *job, .wall_ms = wall}, request);
 }
 
@@ -190,12 +208,9 @@
                            {"queue", queue.name},
                            {"configuration", std::to_string(state_.configuration().version)},
                            {"open_jobs", std::to_string(state_.open_jobs().size())}});
-  ProposeFor(Submit{.job = job,
-                    .queue = queue.name,
-                    .key = call.key,
-                    .wall_ms = wall,
-                    .spec = call.spec},
-             request);
+  ProposeFor(
+      Submit{.job = job, .queue = queue.name, .key = call.key, .wall_ms = wall, .spec = call.spec},
+      request);
 }
 
 std::string Leader::CheckSpec(const JobSpec& spec) const {
@@ -260,10 +275,9 @@
                     WallMs /*wall*/, Outbox& out) {
   const Asker asker{.id = request.id, .address = request.reply_address};
   const std::string error = CheckConfiguration(call.configuration);
-  out.Log("configuration_received",
-          {{"version", std::to_string(call.configuration.version)},
-           {"in_force", std::to_string(state_.configuration().version)},
-           {"error", error}});
+  out.Log("configuration_received", {{"version", std::to_string(call.configuration.version)},
+                                     {"in_force", std::to_string(state_.configuration().version)},
+                                     {"error", error}});
   if (!error.empty()) return Reply(asker, Refusal(AnswerCode::kInvalid, error), out);
   if (call.configuration.version <= state_.configuration().version) {
     return Reply(asker, {}, out);
@@ -276,8 +290,8 @@
   const Asker asker{.id = request.id, .address = request.reply_address};
   const Configuration& configuration = state_.configuration();
   if (configuration.version == 0) {
-    return Reply(asker,
-                 Refusal(AnswerCode::kUnavailable, "no configuration yet", kConfigureRetryS), out);
+    return Reply(asker, Refusal(AnswerCode::kUnavailable, "no configuration yet", kConfigureRetryS),
+                 out);
   }
   Reply(asker, {.content = AnswerContent::kConfiguration, .text = configuration.document}, out);
 }
@@ -315,7 +329,7 @@
 
 void Leader::OnVmReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out) {
   if (term_ == 0) return;
-  maintenance_.OnReply(event, now, wall, out);
+  desk_.OnReply(event, now, wall, out);
 }
 
 void Leader::Tick(Micros now, WallMs wall, Outbox& out) {
@@ -324,7 +338,9 @@
     next_fleet_tick_ = now + kFleetTick;
     fleet_.Tick(now, wall, out);
   }
-  maintenance_.Tick(now, wall, out);
+  maintenance_.Tick(now, out);
+  pools_.Tick(now, out);
+  desk_.Tick(now, out);
   const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
   if (due && now >= next_plan_ && starts_in_log_ == 0) Plan(now, wall, out);
 }
@@ -335,10 +351,10 @@
   auto sights = fleet_.Sights(now);
   for (auto& [id, sight] : sights) {
     const Worker* worker = state_.FindWorker(id);
-    if (worker != nullptr && maintenance_.IsCordoned(*worker)) sight.usable = false;
+    if (worker == nullptr) continue;
+    if (maintenance_.IsCordoned(*worker) || pools_.IsCordoned(*worker)) sight.usable = false;
   }
-  for (Assign& start :
-       PlanStarts({.state = state_, .sights = sights, .wall_ms = wall})) {
+  for (Assign& start : PlanStarts({.state = state_, .sights = sights, .wall_ms = wall})) {
     out.Log("task_assigned", {{"task", FormatTask(start.task)},
                               {"run", std::to_string(start.run)},
                               {"worker", start.worker}});
--- a/control/leader.h
+++ b/control/leader.h
@@ -8,6 +8,8 @@
 
 #include "control/events.h"
 #include "control/maintenance.h"
+#include "control/pool_scaler.h"
+#include "control/vm_desk.h"
 #include "control/worker_fleet.h"
 #include "jobs/state.h"
 
@@ -16,7 +18,9 @@
 struct LeaderOptions {
   std::string node;
   FleetOptions fleet;
+  VmDeskOptions desk;
   MaintenanceOptions maintenance;
+  PoolScalerOptions pools;
   std::size_t max_spec_bytes = 4'000;  // of a job's text
   std::size_t max_tasks = 20'000;      // of one job, over all steps and occurrences
 };
@@ -77,13 +81,17 @@
                 WallMs wall, Outbox& out);
   std::string CheckSpec(const JobSpec& spec) const;
   Answer Describe(const Queue& queue, const std::string& rest) const;
+  void LearnRunTime(const NoteEnd& end, Micros now);
   void StopEndedJob(JobId id, Micros now, Outbox& out);
   void Plan(Micros now, WallMs wall, Outbox& out);
 
   LeaderOptions options_;
   const State& state_;
   WorkerFleet fleet_;
+  VmDesk desk_;
   Maintenance maintenance_;
+  Demand demand_;
+  PoolScaler pools_;
   replication::Term term_ = 0;
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Asker> askers_;  // by log index
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -11,35 +11,30 @@
 constexpr Micros kTickPeriod = 50 * kMillisecond;
 /// Tasks that end by themselves get this long before their VM is taken down.
 constexpr Micros kFinishGrace = 1'500 * kMillisecond;
-constexpr Micros kCallRetry = 500 * kMillisecond;
 /// A VM that is not back after this many times the announced duration counts no longer as away.
 constexpr int kAwayFactor = 4;
+constexpr Micros kBusyRetry = 500 * kMillisecond;
+/// A VM of a pool that is off is taken as back after the announced time and this.
+constexpr Micros kParkedMargin = 500 * kMillisecond;
 /// VMs that are emptied ahead, so that the next one is ready when one comes back.
 constexpr std::size_t kEmptiedAhead = 1;
 
 }  // namespace
 
-void Maintenance::BeginTerm(std::uint64_t fencing_token, Micros now) {
-  fencing_token_ = fencing_token;
-  term_began_ = now;
+void Maintenance::BeginTerm(Micros now) {
   work_.clear();
-  sent_.clear();
+  retry_at_.clear();
   // VMs whose maintenance an earlier leader began may still be away.
   for (const auto& [id, wave] : state_.waves()) {
     for (const VmId& vm : wave.begun) {
       if (WorkerOn(vm) == nullptr) {
         work_[vm] = {.wave = id, .step = VmStep::kAway, .since = now};
+        desk_.Claim(vm);
       }
     }
   }
 }
 
-void Maintenance::EndTerm() {
-  fencing_token_ = 0;
-  work_.clear();
-  sent_.clear();
-}
-
 const Worker* Maintenance::WorkerOn(const VmId& vm) const {
   const Worker* newest = nullptr;
   for (const auto& [id, worker] : state_.workers()) {
@@ -54,37 +49,36 @@
          work_.at(worker.record.vm).step != VmStep::kAway;
 }
 
-void Maintenance::Tick(Micros now, WallMs wall, Outbox& out) {
-  if (fencing_token_ == 0 || now < next_tick_) return;
+void Maintenance::Tick(Micros now, Outbox& out) {
+  if (now < next_tick_) return;
   next_tick_ = now + kTickPeriod;
   for (const auto& [id, worker] : state_.workers()) {
     if (worker.record.phase == WorkerPhase::kDraining) MoveLastingTasks(id, now, out);
   }
-  if (now - term_began_ < options_.takeover_ms * kMillisecond) return;
+  if (!desk_.Open(now)) return;
   for (const auto& [id, wave] : state_.waves()) {
     if (!wave.completed()) TickWave(id, wave, now);
   }
   for (auto next = work_.begin(); next != work_.end();) {
     auto current = next++;
-    TickVm(current->first, current->second, now, wall, out);
-    if (current->second.step == VmStep::kAway && IsBack(current->first, current->second)) {
-      work_.erase(current);
-    } else if (current->second.step == VmStep::kAway &&
-               now - current->second.since >
-                   kAwayFactor * options_.maintenance_ms * kMillisecond) {
+    TickVm(current->first, current->second, now, out);
+    if (current->second.step == VmStep::kAway && IsBack(current->first, current->second, now)) {
+      desk_.Release(current->first);
       work_.erase(current);
     }
   }
 }
 
 void Maintenance::TickWave(WaveId id, const Wave& wave, Micros now) {
-  const auto in_work = static_cast<std::size_t>(std::ranges::count_if(
-      work_, [&](const auto& entry) { return entry.second.wave == id; }));
+  const auto in_work = static_cast<std::size_t>(
+      std::ranges::count_if(work_, [&](const auto& entry) { return entry.second.wave == id; }));
   if (in_work >= wave.max_down + kEmptiedAhead) return;
   // The VM with the least to lose first.
   std::vector<std::tuple<std::size_t, VmId>> left;
   for (const VmId& vm : wave.vms) {
-    if (wave.begun.contains(vm) || work_.contains(vm)) continue;
+    if (wave.begun.contains(vm) || work_.contains(vm) || desk_.IsClaimed(vm)) continue;
+    const auto retry = retry_at_.find(vm);
+    if (retry != retry_at_.end() && now < retry->second) continue;
     const Worker* worker = WorkerOn(vm);
     left.emplace_back(worker == nullptr ? 0 : worker->tasks.size(), vm);
   }
@@ -96,6 +90,7 @@
 
 void Maintenance::Begin(WaveId id, const VmId& vm, Micros now) {
   const Worker* worker = WorkerOn(vm);
+  desk_.Claim(vm);
   work_[vm] = {.wave = id, .worker = worker == nullptr ? "" : worker->record.id, .since = now};
 }
 
@@ -126,63 +121,57 @@
   return worker == nullptr || worker->tasks.empty();
 }
 
-bool Maintenance::IsBack(const VmId& vm, const VmWork& work) const {
+/// A VM that is away is back when a worker that is newer than its maintenance reports from it; one of
+/// a pool that is off has none, and time tells.
+bool Maintenance::IsBack(const VmId& vm, const VmWork& work, Micros now) const {
+  const Micros away = now - work.since;
+  const Micros announced = options_.maintenance_ms * kMillisecond;
+  if (away < announced) return false;
+  if (work.worker.empty() && away > announced + kParkedMargin) return true;
+  if (away > kAwayFactor * announced) return true;
   const Worker* worker = WorkerOn(vm);
-  return worker != nullptr && worker->record.id != work.worker;
+  return worker != nullptr && worker->record.id != work.worker &&
+         worker->record.born_ms > work.since_wall;
 }
 
-void Maintenance::TickVm(const VmId& vm, VmWork& work, Micros now, WallMs /*wall*/, Outbox& out) {
-  if (work.step == VmStep::kAway) return;
-  if (work.step == VmStep::kEmptying) {
-    MoveLastingTasks(work.worker, now, out);
-    const Worker* worker = state_.FindWorker(work.worker);
-    const bool lasting = worker != nullptr && std::ranges::any_of(worker->tasks, [&](auto& task) {
-      return state_.FindJob(task.job)->spec.steps[task.step].lasting;
-    });
-    if (!IsEmpty(work) && (lasting || now - work.since < kFinishGrace)) return;
-    const Wave& wave = state_.waves().at(work.wave);
-    const auto down = std::ranges::count_if(work_, [&](const auto& entry) {
-      return entry.second.wave == work.wave && entry.second.step != VmStep::kEmptying;
-    });
-    if (down >= static_cast<std::ptrdiff_t>(wave.max_down)) return;
-    work.step = VmStep::kCalling;
-  }
-  if (!work.call_out && now >= work.next_call) Call(vm, work, now, out);
-}
-
-void Maintenance::Call(const VmId& vm, VmWork& work, Micros now, Outbox& out) {
-  work.call_out = true;
-  work.next_call = now + kCallRetry;
-  const std::uint64_t token = next_token_++;
-  sent_[token] = vm;
-  out.Add(VmEffect{.token = token,
-                   .holder = options_.holder,
-                   .fencing_token = fencing_token_,
-                   .order = MaintainVm{.vm = vm, .wave = work.wave}});
+void Maintenance::TickVm(const VmId& vm, VmWork& work, Micros now, Outbox& out) {
+  if (work.step != VmStep::kEmptying) return;
+  MoveLastingTasks(work.worker, now, out);
+  const Worker* worker = state_.FindWorker(work.worker);
+  const bool lasting = worker != nullptr && std::ranges::any_of(worker->tasks, [&](auto& task) {
+                         return state_.FindJob(task.job)->spec.steps[task.step].lasting;
+                       });
+  if (!IsEmpty(work) && (lasting || now - work.since < kFinishGrace)) return;
+  const Wave& wave = state_.waves().at(work.wave);
+  const auto down = std::ranges::count_if(work_, [&](const auto& entry) {
+    return entry.second.wave == work.wave && entry.second.step != VmStep::kEmptying;
+  });
+  if (down >= static_cast<std::ptrdiff_t>(wave.max_down)) return;
+  work.step = VmStep::kCalling;
+  desk_.Order(vm, MaintainVm{.vm = vm, .wave = work.wave},
+              [this, vm](VmOutcome outcome, Micros then, WallMs wall) {
+                OnOutcome(vm, outcome, then, wall);
+              });
 }
 
-void Maintenance::OnReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out) {
-  const auto sent = sent_.find(event.token);
-  if (sent == sent_.end()) return;
-  const VmId vm = sent->second;
-  sent_.erase(sent);
+void Maintenance::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, WallMs wall) {
   const auto found = work_.find(vm);
   if (found == work_.end()) return;
   VmWork& work = found->second;
-  work.call_out = false;
-  const VmOutcome outcome = event.reply.outcome;
-  out.Log("vm_maintained", {{"vm", vm},
-                            {"wave", std::to_string(work.wave)},
-                            {"worker", work.worker},
-                            {"outcome", std::string(NameOf(kVmOutcomeNames, outcome))}});
   if (outcome == VmOutcome::kDone) {
     propose_(NoteMaintained{.wave = work.wave, .vm = vm});
     fleet_.Retire(work.worker, now, wall);
     work.step = VmStep::kAway;
     work.since = now;
+    work.since_wall = wall;
   } else if (outcome == VmOutcome::kNoSuchVm || outcome == VmOutcome::kNotInWave) {
     propose_(NoteMaintained{.wave = work.wave, .vm = vm});
+    desk_.Release(vm);
     work_.erase(found);
+  } else {
+    desk_.Release(vm);
+    work_.erase(found);  // busy: another VM may come first
+    retry_at_[vm] = now + kBusyRetry;
   }
 }
 
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -8,14 +8,13 @@
 #include <string>
 
 #include "control/events.h"
+#include "control/vm_desk.h"
 #include "control/worker_fleet.h"
 #include "jobs/state.h"
 
 namespace godwitpaddle::jobs {
 
 struct MaintenanceOptions {
-  std::string holder;                  // name of this node towards the platform
-  std::int64_t takeover_ms = 3'000;    // no calls of a new leader before: those of the former end
   std::int64_t maintenance_ms = 2'000;  // how long a VM is away
 };
 
@@ -25,16 +24,21 @@
  public:
   using Propose = std::function<void(Command)>;
 
-  Maintenance(MaintenanceOptions options, const State& state, WorkerFleet& fleet, Propose propose)
-      : options_(std::move(options)), state_(state), fleet_(fleet), propose_(std::move(propose)) {}
+  Maintenance(MaintenanceOptions options, const State& state, WorkerFleet& fleet, VmDesk& desk,
+              Propose propose)
+      : options_(options),
+        state_(state),
+        fleet_(fleet),
+        desk_(desk),
+        propose_(std::move(propose)) {}
 
-  void BeginTerm(std::uint64_t fencing_token, Micros now);
-  void EndTerm();
-  void OnReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
-  void Tick(Micros now, WallMs wall, Outbox& out);
+  void BeginTerm(Micros now);
+  void Tick(Micros now, Outbox& out);
 
   /// Whether new tasks must keep off the worker because its VM is about to be taken down.
   bool IsCordoned(const Worker& worker) const;
+  /// Whether the VM is being maintained, or about to be.
+  bool IsAway(const VmId& vm) const { return work_.contains(vm); }
 
  private:
   enum class VmStep : std::uint8_t { kEmptying, kCalling, kAway };
@@ -44,16 +48,15 @@
     VmStep step = VmStep::kEmptying;
     WorkerId worker;  // that ran there; empty when the VM had none
     Micros since = 0;
-    Micros next_call = 0;
-    bool call_out = false;
+    WallMs since_wall = 0;  // when the maintenance was agreed to
   };
 
   void TickWave(WaveId id, const Wave& wave, Micros now);
   void Begin(WaveId id, const VmId& vm, Micros now);
-  void TickVm(const VmId& vm, VmWork& work, Micros now, WallMs wall, Outbox& out);
-  void Call(const VmId& vm, VmWork& work, Micros now, Outbox& out);
+  void TickVm(const VmId& vm, VmWork& work, Micros now, Outbox& out);
+  void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, WallMs wall);
   bool IsEmpty(const VmWork& work) const;
-  bool IsBack(const VmId& vm, const VmWork& work) const;
+  bool IsBack(const VmId& vm, const VmWork& work, Micros now) const;
   void MoveLastingTasks(const WorkerId& worker, Micros now, Outbox& out);
   bool MayTakeAway(const TaskId& task) const;
   const Worker* WorkerOn(const VmId& vm) const;
@@ -61,13 +64,11 @@
   MaintenanceOptions options_;
   const State& state_;
   WorkerFleet& fleet_;
+  VmDesk& desk_;
   Propose propose_;
-  std::uint64_t fencing_token_ = 0;
-  Micros term_began_ = 0;
   Micros next_tick_ = 0;
-  std::uint64_t next_token_ = 1;
-  std::map<std::uint64_t, VmId> sent_;
   std::map<VmId, VmWork> work_;
+  std::map<VmId, Micros> retry_at_;  // VMs that the platform could not take down
 };
 
 }  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/control/pool_scaler.cc
@@ -0,0 +1,211 @@
+#include "control/pool_scaler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+constexpr Micros kTickPeriod = 100 * kMillisecond;
+/// Part of a pool's cores that work may take: what is left evens out bursts and wide steps.
+constexpr double kUtilisation = 0.7;
+/// Work that is there is to be done within this.
+constexpr double kClearMs = 2'000;
+/// Part of a run that is left on average.
+constexpr double kLeftOfRun = 0.5;
+/// A VM that does not come up in its new pool after this many times the announced time is given up.
+constexpr int kArrivalFactor = 6;
+constexpr double kMillicores = 1'000;
+
+}  // namespace
+
+void PoolScaler::BeginTerm() {
+  emptying_.clear();
+  moving_.clear();
+  parked_.clear();
+  surplus_since_.clear();
+  listed_ = false;
+}
+
+bool PoolScaler::IsCordoned(const Worker& worker) const {
+  return emptying_.contains(worker.record.vm) || moving_.contains(worker.record.vm);
+}
+
+bool PoolScaler::HasLastingTask(const Worker& worker) const {
+  return std::ranges::any_of(worker.tasks, [this](const TaskId& task) {
+    return state_.FindJob(task.job)->spec.steps[task.step].lasting;
+  });
+}
+
+void PoolScaler::Tick(Micros now, Outbox& out) {
+  if (now < next_tick_) return;
+  next_tick_ = now + kTickPeriod;
+  if (desk_.vms().empty()) return;
+  if (!listed_) {
+    listed_ = true;
+    for (const auto& [id, vm] : desk_.vms()) {
+      const Service* service = FindService(state_.configuration(), vm.pool);
+      if (service != nullptr && service->standby) parked_[id] = vm.pool;
+    }
+  }
+  Settle(now);
+  std::map<VmId, std::string> still;
+  std::vector<PoolMove> moves = PlanMoves(DescribePools(now), options_.plan, now);
+  for (const PoolMove& move : moves) still[move.vm] = move.to;
+  // A VM whose move is not wanted any more takes tasks again.
+  emptying_ = std::move(still);
+  if (!desk_.Open(now)) return;
+  for (const PoolMove& move : moves) Start(move, now, out);
+}
+
+/// VMs that have arrived count where they are.
+void PoolScaler::Settle(Micros now) {
+  for (const auto& [id, worker] : state_.workers()) {
+    const auto moving = moving_.find(worker.record.vm);
+    if (moving != moving_.end() && worker.record.service == moving->second.to &&
+        worker.record.id != moving->second.from_worker) {
+      desk_.Release(worker.record.vm);
+      moving_.erase(moving);
+    }
+    if (fleet_.IsUsable(id, now)) parked_.erase(worker.record.vm);
+  }
+  const Micros longest = kArrivalFactor * options_.move_ms * kMillisecond;
+  std::erase_if(moving_, [&](const auto& entry) {
+    const Moving& moving = entry.second;
+    if (moving.arrives == 0) return false;
+    const Service* service = FindService(state_.configuration(), moving.to);
+    if (service != nullptr && service->standby && now >= moving.arrives) {
+      parked_[entry.first] = moving.to;
+      desk_.Release(entry.first);
+      return true;
+    }
+    if (now <= moving.ordered + longest) return false;
+    desk_.Release(entry.first);
+    return true;
+  });
+}
+
+std::map<std::string, double> PoolScaler::OpenWork() const {
+  std::map<std::string, double> work;  // core-milliseconds
+  for (const JobId id : state_.open_jobs()) {
+    const Job& job = *state_.FindJob(id);
+    if (!job.active() || job.spec.repeat_count > 0) continue;
+    double open = 0;
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+      const Step& step = job.spec.steps[i];
+      if (step.lasting || step.fills) continue;
+      const StepRun& run = job.steps[i];
+      const double count = static_cast<double>(run.tasks.size() - run.done - run.assigned) +
+                           kLeftOfRun * static_cast<double>(run.assigned);
+      open += count * static_cast<double>(step.size.cpu) / kMillicores *
+                 static_cast<double>(step.estimate_ms);
+    }
+    work[job.service] += open;
+  }
+  return work;
+}
+
+double PoolScaler::NeededCores(const std::string& service, double open_core_ms, Micros now) {
+  const Micros ahead = options_.move_ms * kMillisecond + kTickPeriod;
+  const double arriving = demand_.Forecast(service, now, ahead);
+  const double open = open_core_ms * demand_.EstimateFactor(service) / kClearMs;
+  return std::max(arriving, open) / kUtilisation;
+}
+
+std::vector<Pool> PoolScaler::DescribePools(Micros now) {
+  std::map<std::string, Pool> pools;
+  for (const Service& service : state_.configuration().services) {
+    pools[service.name] = {.service = service.name, .standby = service.standby};
+  }
+  AddWorkers(pools, now);
+  AddStandby(pools);
+  for (const auto& [vm, moving] : moving_) {
+    const auto pool = pools.find(moving.to);
+    if (pool != pools.end()) ++pool->second.vms;
+  }
+  const std::map<std::string, double> open = OpenWork();
+  std::vector<Pool> described;
+  for (auto& [name, pool] : pools) {
+    const auto work = open.find(name);
+    pool.needed_cores += NeededCores(name, work == open.end() ? 0 : work->second, now);
+    Micros& since = surplus_since_[name];
+    if (pool.vms <= NeededVms(pool, options_.plan) + options_.plan.spare_vms) {
+      since = 0;
+    } else if (since == 0) {
+      since = now;
+    }
+    pool.surplus_since = since;
+    described.push_back(std::move(pool));
+  }
+  return described;
+}
+
+void PoolScaler::AddWorkers(std::map<std::string, Pool>& pools, Micros now) const {
+  for (const auto& [id, worker] : state_.workers()) {
+    const auto found = pools.find(worker.record.service);
+    const VmId& vm = worker.record.vm;
+    if (found == pools.end() || vm.empty() || moving_.contains(vm)) continue;
+    Pool& pool = found->second;
+    if (worker.record.phase != WorkerPhase::kReady || maintenance_.IsCordoned(worker)) continue;
+    if (!fleet_.IsUsable(id, now)) continue;
+    ++pool.vms;
+    pool.vm_cores =
+        std::max(pool.vm_cores, static_cast<double>(worker.record.capacity.cpu) / kMillicores);
+    // What lasts stays where it is; its cores are not there for what arrives.
+    if (HasLastingTask(worker)) {
+      for (const TaskId& task : worker.tasks) {
+        const Step& step = state_.FindJob(task.job)->spec.steps[task.step];
+        if (step.lasting) {
+          pool.needed_cores += static_cast<double>(step.footprint().cpu) / kMillicores;
+        }
+      }
+      continue;
+    }
+    if (desk_.IsClaimed(vm)) continue;
+    pool.movable.push_back(
+        {.vm = vm, .tasks = worker.tasks.size(), .emptying = emptying_.contains(vm)});
+  }
+}
+
+void PoolScaler::AddStandby(std::map<std::string, Pool>& pools) const {
+  for (const auto& [vm, name] : parked_) {
+    const auto pool = pools.find(name);
+    if (pool == pools.end() || moving_.contains(vm)) continue;
+    ++pool->second.vms;
+    if (!desk_.IsClaimed(vm)) pool->second.movable.push_back({.vm = vm});
+  }
+}
+
+void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
+  WorkerId from_worker;
+  for (const auto& [id, worker] : state_.workers()) {
+    if (worker.record.vm != move.vm || worker.record.service != move.from) continue;
+    if (!worker.tasks.empty()) return;  // once it is empty
+    from_worker = id;
+  }
+  emptying_.erase(move.vm);
+  moving_[move.vm] = {.to = move.to, .from_worker = from_worker, .ordered = now};
+  out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
+  out.Count("vm_moves_total");
+  desk_.Claim(move.vm);
+  desk_.Order(move.vm, MoveVm{.vm = move.vm, .pool = move.to},
+              [this, vm = move.vm, from_worker](VmOutcome outcome, Micros then, WallMs wall) {
+                OnOutcome(vm, from_worker, outcome, then, wall);
+              });
+}
+
+void PoolScaler::OnOutcome(const VmId& vm, const WorkerId& from_worker, VmOutcome outcome,
+                           Micros now, WallMs wall) {
+  const auto moving = moving_.find(vm);
+  if (moving == moving_.end()) return;
+  if (outcome != VmOutcome::kDone) {
+    moving_.erase(moving);
+    desk_.Release(vm);
+    return;
+  }
+  parked_.erase(vm);
+  moving->second.arrives = now + options_.move_ms * kMillisecond;
+  fleet_.Retire(from_worker, now, wall);
+}
+
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/control/vm_desk.cc
@@ -0,0 +1,114 @@
+#include "control/vm_desk.h"
+
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+constexpr Micros kOrderRetry = 500 * kMillisecond;
+constexpr Micros kListRetry = kSecond;
+
+std::string OrderName(const VmOrder& order) {
+  if (std::holds_alternative<MoveVm>(order)) return "move to " + std::get<MoveVm>(order).pool;
+  if (std::holds_alternative<MaintainVm>(order)) return "maintain";
+  return "list";
+}
+
+/// Whether the order was certainly carried out or certainly will not be.
+bool IsSettled(VmOutcome outcome) {
+  return outcome != VmOutcome::kUnknown && outcome != VmOutcome::kThrottled &&
+         outcome != VmOutcome::kNotSent;
+}
+
+}  // namespace
+
+void VmDesk::BeginTerm(std::uint64_t fencing_token, Micros now) {
+  EndTerm();
+  fencing_token_ = fencing_token;
+  term_began_ = now;
+  list_due_ = true;
+}
+
+void VmDesk::EndTerm() {
+  fencing_token_ = 0;
+  sent_.clear();
+  orders_.clear();
+  claims_.clear();
+  vms_.clear();
+  listed_.clear();
+  list_out_ = false;
+  next_page_.clear();
+}
+
+bool VmDesk::Open(Micros now) const {
+  return fencing_token_ != 0 && now - term_began_ >= options_.takeover_ms * kMillisecond;
+}
+
+void VmDesk::Order(const VmId& vm, VmOrder order, Done done) {
+  orders_[vm] = {.order = std::move(order), .done = std::move(done)};
+}
+
+void VmDesk::Send(const VmId& vm, VmOrder order, Outbox& out) {
+  const std::uint64_t token = next_token_++;
+  sent_[token] = vm;
+  out.Add(VmEffect{.token = token,
+                   .holder = options_.holder,
+                   .fencing_token = fencing_token_,
+                   .order = std::move(order)});
+}
+
+void VmDesk::Tick(Micros now, Outbox& out) {
+  if (fencing_token_ == 0) return;
+  if (list_due_ && !list_out_ && now >= next_list_) {
+    list_out_ = true;
+    Send({}, ListVms{.page = next_page_}, out);
+  }
+  if (!Open(now)) return;
+  for (auto& [vm, pending] : orders_) {
+    if (pending.sent || now < pending.next_send) continue;
+    pending.sent = true;
+    Send(vm, pending.order, out);
+  }
+}
+
+void VmDesk::OnReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out) {
+  const auto sent = sent_.find(event.token);
+  if (sent == sent_.end()) return;
+  const VmId vm = sent->second;
+  sent_.erase(sent);
+  if (vm.empty()) return OnList(event.reply, now, out);
+  const auto found = orders_.find(vm);
+  if (found == orders_.end()) return;
+  const VmOutcome outcome = event.reply.outcome;
+  out.Log("vm_order", {{"vm", vm},
+                       {"order", OrderName(found->second.order)},
+                       {"outcome", std::string(NameOf(kVmOutcomeNames, outcome))}});
+  if (!IsSettled(outcome)) {
+    found->second.sent = false;
+    found->second.next_send = now + kOrderRetry;
+    return;
+  }
+  const Done done = std::move(found->second.done);
+  orders_.erase(found);
+  done(outcome, now, wall);
+}
+
+void VmDesk::OnList(const VmReply& reply, Micros now, Outbox& out) {
+  list_out_ = false;
+  if (reply.outcome != VmOutcome::kDone) {
+    out.Log("vm_list_failed", {{"outcome", std::string(NameOf(kVmOutcomeNames, reply.outcome))}},
+            Severity::kWarning);
+    next_list_ = now + kListRetry;
+    next_page_.clear();
+    listed_.clear();
+    return;
+  }
+  for (const VmRecord& vm : reply.vms) listed_[vm.vm] = vm;
+  next_page_ = reply.next_page;
+  if (!next_page_.empty()) return;
+  list_due_ = false;
+  vms_ = std::exchange(listed_, {});
+  out.Log("vms_listed", {{"vms", std::to_string(vms_.size())}});
+}
+
+}  // namespace godwitpaddle::jobs
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -116,8 +116,8 @@
   if (known != nullptr && call.record.born_ms < known->record.born_ms) return false;
   View* view = Find(call.record.id);
   if (known == nullptr || !(known->record == call.record)) {
-    const bool late = view != nullptr && view->born_ms == call.record.born_ms &&
-                      call.sequence < view->sequence;
+    const bool late =
+        view != nullptr && view->born_ms == call.record.born_ms && call.sequence < view->sequence;
     if (late) return false;
     propose_(NoteWorker{.record = call.record});
   }
@@ -151,11 +151,9 @@
   const Worker* known = state_.FindWorker(worker);
   if (found == views_.end() || known == nullptr) return false;
   const View& view = found->second;
-  const Micros silence =
-      kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
+  const Micros silence = kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
   return known->record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
-         view.listed && view.has_clock && now >= view.rest_until &&
-         now - view.last_heard < silence;
+         view.listed && view.has_clock && now >= view.rest_until && now - view.last_heard < silence;
 }
 
 bool WorkerFleet::AtWork(const TaskId& task) const {
@@ -164,14 +162,24 @@
   const auto view = views_.find(found->worker);
   if (view == views_.end()) return false;
   const auto run = view->second.runs.find(task);
-  return run != view->second.runs.end() && run->second.percent >= 100 &&
-         !run->second.stop_wanted && !run->second.end_proposed;
+  return run != view->second.runs.end() && run->second.percent >= 100 && !run->second.stop_wanted &&
+         !run->second.end_proposed;
+}
+
+std::optional<Micros> WorkerFleet::RunTime(const TaskId& task, std::uint32_t run,
+                                           Micros now) const {
+  for (const auto& [id, view] : views_) {
+    const auto found = view.runs.find(task);
+    if (found == view.runs.end() || found->second.run != run) continue;
+    if (found->second.started_at == 0) return std::nullopt;
+    return now - found->second.started_at;
+  }
+  return std::nullopt;
 }
 
 // ---- what took effect ----
 
-void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now,
-                            Outbox& out) {
+void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now, Outbox& out) {
   if (fencing_token_ == 0) return;
   if (const auto* assign = std::get_if<Assign>(&command)) {
     View* view = Find(assign->worker);
@@ -216,8 +224,7 @@
                             std::int64_t timeout_ms, Micros now, Outbox& out) {
   const std::uint64_t token = next_token_++;
   const Worker* known = state_.FindWorker(worker);
-  sent_[token] = {
-      .worker = worker, .born_ms = view.born_ms, .order = order, .sent_at = now};
+  sent_[token] = {.worker = worker, .born_ms = view.born_ms, .order = order, .sent_at = now};
   out.Add(OrderEffect{.token = token,
                       .address = known->record.address,
                       .worker = worker,
@@ -377,9 +384,9 @@
   if (found == view.runs.end() || found->second.run != order.run) return;
   Run& run = found->second;
   run.stop_out = false;
-  const bool known_there = reply.outcome == OrderOutcome::kDone ||
-                           (reply.outcome == OrderOutcome::kRefused &&
-                            reply.reason == RefusalReason::kOld);
+  const bool known_there =
+      reply.outcome == OrderOutcome::kDone ||
+      (reply.outcome == OrderOutcome::kRefused && reply.reason == RefusalReason::kOld);
   if (known_there && !run.stop_answered_at && sent.born_ms == view.born_ms) {
     run.stop_answered_at = now;
     view.hold_at = std::min(view.hold_at, now + kHoldPause);
@@ -451,8 +458,8 @@
     out.Log("stray_run_stopped", {{"worker", worker},
                                   {"task", FormatTask(listed.task)},
                                   {"run", std::to_string(listed.run)}});
-    SendOrder(worker, view, StopOrder{.task = listed.task, .run = listed.run}, kStopTimeoutMs,
-              now, out);
+    SendOrder(worker, view, StopOrder{.task = listed.task, .run = listed.run}, kStopTimeoutMs, now,
+              out);
   }
 }
 
@@ -464,8 +471,7 @@
   const Micros stop_time = options_.stop_ms * kMillisecond;
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed || listed.contains(task)) continue;
-    const bool stopped =
-        run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
+    const bool stopped = run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
     const bool gone =
         run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
     if (run.phase == RunPhase::kInherited) {
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -14,9 +14,9 @@
 namespace godwitpaddle::jobs {
 
 struct FleetOptions {
-  std::int64_t lease_ms = 4'000;       // of everything on a worker, renewed by each hold
-  std::int64_t heartbeat_ms = 1'500;   // period of the workers' reports
-  std::int64_t stop_ms = 1'000;        // a stopped run is gone after this
+  std::int64_t lease_ms = 4'000;      // of everything on a worker, renewed by each hold
+  std::int64_t heartbeat_ms = 1'500;  // period of the workers' reports
+  std::int64_t stop_ms = 1'000;       // a stopped run is gone after this
 };
 
 /// The leader's dealings with the workers: starts, stops, leases, and what is known of each run.
@@ -52,6 +52,8 @@
   std::map<WorkerId, WorkerSight> Sights(Micros now) const;
   /// Whether a lasting task works at full speed, as far as the worker has said.
   bool AtWork(const TaskId& task) const;
+  /// How long the run has been going, as far as its start was seen.
+  std::optional<Micros> RunTime(const TaskId& task, std::uint32_t run, Micros now) const;
   bool IsUsable(const WorkerId& worker, Micros now) const;
 
  private:
@@ -64,9 +66,9 @@
   struct Run {
     std::uint32_t run = 0;
     RunPhase phase = RunPhase::kInherited;
-    Micros started_at = 0;    // when it was answered or listed first
-    int sends = 0;            // of the start
-    bool start_out = false;   // a start is under way
+    Micros started_at = 0;   // when it was answered or listed first
+    int sends = 0;           // of the start
+    bool start_out = false;  // a start is under way
     Micros resend_at = 0;
     bool stop_wanted = false;
     bool stop_out = false;
@@ -81,16 +83,16 @@
     std::int64_t born_ms = 0;
     std::uint64_t sequence = 0;  // of the newest report
     bool has_clock = false;
-    std::int64_t clock_ms = 0;  // the worker's clock was at least this
-    Micros clock_at = 0;        // at this time
+    std::int64_t clock_ms = 0;      // the worker's clock was at least this
+    Micros clock_at = 0;            // at this time
     std::int64_t lease_end_ms = 0;  // latest that any call of this term carried
     Micros lapse_at = 0;            // every lease has run out by then
     bool listed = false;            // its lists were read in this term
     bool leaving = false;           // said goodbye
     Micros left_at = 0;
-    bool suspect = false;           // the last order was not answered
+    bool suspect = false;  // the last order was not answered
     bool hold_out = false;
-    Micros hold_at = 0;       // the next one is due
+    Micros hold_at = 0;  // the next one is due
     Micros hold_sent_at = 0;
     Micros last_heard = 0;
     Micros rest_until = 0;    // no new starts before
@@ -121,8 +123,7 @@
   void SendStop(const WorkerId& worker, View& view, const TaskId& task, Run& run, Micros now,
                 Outbox& out);
   void SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out);
-  void OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
-                    WallMs wall);
+  void OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall);
   void OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now);
   void OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall,
                    Outbox& out);
--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -55,10 +55,10 @@
                      .fleet = {.lease_ms = std::min(timing.longest_lease_ms, kTaskLeaseMs),
                                .heartbeat_ms = timing.heartbeat_ms,
                                .stop_ms = timing.stop_ms},
-                     .maintenance = {.holder = settings.node,
-                                     .takeover_ms = timing.holder_lease_ms,
-                                     .maintenance_ms = static_cast<std::int64_t>(
-                                         timing.maintenance_s * 1'000)}}};
+                     .desk = {.holder = settings.node, .takeover_ms = timing.holder_lease_ms},
+                     .maintenance = {.maintenance_ms =
+                                         static_cast<std::int64_t>(timing.maintenance_s * 1'000)},
+                     .pools = {.move_ms = static_cast<std::int64_t>(timing.move_s * 1'000)}}};
 }
 
 /// The data folder of a core node. A disk that refuses is tried again: until it takes the batch the
@@ -73,8 +73,8 @@
     const bool empty = stored_.term == 0 && !stored_.snapshot && stored_.log.empty();
     if (!empty || !settings.forms_group || !is_seed) return;
     stored_ = jobs::FirstGroup(seeds);
-    files_->Write({.hard_state = {{stored_.term, stored_.voted_for}},
-                   .snapshot = stored_.snapshot});
+    files_->Write(
+        {.hard_state = {{stored_.term, stored_.voted_for}}, .snapshot = stored_.snapshot});
   }
 
   const replication::ReplicaId& replica_id() const { return files_->replica_id(); }
@@ -182,25 +182,24 @@
   client = std::make_unique<HttpClient>();
   core = std::make_unique<jobs::CoreNode>(MakeCoreOptions(settings), disk->replica_id(),
                                           disk->TakeStored(), MonotonicNow());
-  driver = std::make_unique<JobDriver>(
-      [this](const jobs::Event& event, Micros now, WallMs wall) {
-        return core->Step(event, now, wall);
-      },
-      MakeSinks(), kCoreTick);
+  driver = std::make_unique<JobDriver>([this](const jobs::Event& event, Micros now,
+                                              WallMs wall) { return core->Step(event, now, wall); },
+                                       MakeSinks(), kCoreTick);
   storage = std::make_unique<StorageTask>(StorageTask::Handlers{
       .write = [this](const replication::PersistBatch& batch) { disk->Write(batch); },
       .synced =
           [this](std::uint64_t token) { driver->mailbox().ForcePush(SyncedEvent{.token = token}); },
-      .failed = [](const std::string& reason) {
-        LogEvent(Severity::kError, "storage_failed", {{"reason", reason}});
-      }});
+      .failed =
+          [](const std::string& reason) {
+            LogEvent(Severity::kError, "storage_failed", {{"reason", reason}});
+          }});
 }
 
 void FleetProcess::Impl::MakeEdge() {
-  edge = std::make_unique<jobs::EdgeNode>(
-      jobs::GatewayOptions{.own_address = settings.peer_address(),
-                           .seeds = settings.peer_seeds(),
-                           .first_call = RandomBits() >> 1U});
+  edge =
+      std::make_unique<jobs::EdgeNode>(jobs::GatewayOptions{.own_address = settings.peer_address(),
+                                                            .seeds = settings.peer_seeds(),
+                                                            .first_call = RandomBits() >> 1U});
   driver = std::make_unique<JobDriver>(
       [this](const jobs::Event& event, Micros now, WallMs wall) {
         auto effects = edge->Step(event, now, wall);
@@ -221,16 +220,17 @@
 }
 
 void FleetProcess::Impl::MakeServers() {
-  const std::string& address = settings.role == FleetRole::kCore ? settings.control_address
-                                                                 : settings.client_address;
+  const std::string& address =
+      settings.role == FleetRole::kCore ? settings.control_address : settings.client_address;
   if (!address.empty()) {
     calls = std::make_unique<HttpServer>(
         MakeServerOptions(address),
         HttpServer::Handlers{.deliver = [this](HttpEvent event) { return Deliver(event); },
-                             .closed = [this](std::uint64_t connection) {
-                               driver->mailbox().ForcePush(
-                                   HttpClosedEvent{.connection = connection});
-                             }});
+                             .closed =
+                                 [this](std::uint64_t connection) {
+                                   driver->mailbox().ForcePush(
+                                       HttpClosedEvent{.connection = connection});
+                                 }});
   }
   if (!settings.readiness_address.empty()) {
     readiness = std::make_unique<HttpServer>(
@@ -244,8 +244,8 @@
       MakeServerOptions(settings.metrics_address()),
       HttpServer::Handlers{.local = [this](const HttpEvent& request) {
         if (request.path != "/metrics") return std::optional(RespondEffect{.status = 404});
-        return std::optional(RespondEffect{.content_type = "text/plain; version=0.0.4",
-                                           .body = metrics.Text()});
+        return std::optional(
+            RespondEffect{.content_type = "text/plain; version=0.0.4", .body = metrics.Text()});
       }});
 }
 
@@ -260,24 +260,24 @@
 }
 
 JobSinks FleetProcess::Impl::MakeSinks() {
-  return {.send = [this](SendEffect effect) { peers->mailbox().TryPush(std::move(effect)); },
-          .persist =
-              [this](PersistEffect effect) { storage->mailbox().Push(std::move(effect.batch)); },
-          .answer =
-              [this](const jobs::AnswerEffect& effect) {
-                calls->Respond(platform::EncodeAnswer(effect.connection, effect.answer));
-              },
-          .order = [this](const jobs::OrderEffect& effect) { SendOrder(effect); },
-          .vm_order = [this](const jobs::VmEffect& effect) { SendVmOrder(effect); },
-          .metric = [this](const MetricEffect& effect) { metrics.Add(effect.name, effect.value); },
-          .exit = [this](const ExitEffect& effect) { Exit(effect); }};
+  return {
+      .send = [this](SendEffect effect) { peers->mailbox().TryPush(std::move(effect)); },
+      .persist = [this](PersistEffect effect) { storage->mailbox().Push(std::move(effect.batch)); },
+      .answer =
+          [this](const jobs::AnswerEffect& effect) {
+            calls->Respond(platform::EncodeAnswer(effect.connection, effect.answer));
+          },
+      .order = [this](const jobs::OrderEffect& effect) { SendOrder(effect); },
+      .vm_order = [this](const jobs::VmEffect& effect) { SendVmOrder(effect); },
+      .metric = [this](const MetricEffect& effect) { metrics.Add(effect.name, effect.value); },
+      .exit = [this](const ExitEffect& effect) { Exit(effect); }};
 }
 
 void FleetProcess::Impl::SendOrder(const jobs::OrderEffect& effect) {
   HttpTransfer transfer = platform::EncodeOrder(effect);
   transfer.done = [this, token = effect.token, order = effect.order](const HttpResult& result) {
-    driver->mailbox().ForcePush(jobs::OrderEvent{
-        .token = token, .reply = platform::DecodeOrderReply(order, result)});
+    driver->mailbox().ForcePush(
+        jobs::OrderEvent{.token = token, .reply = platform::DecodeOrderReply(order, result)});
   };
   client->mailbox().Push(std::move(transfer));
 }
--- a/daemon/fleet_settings.h
+++ b/daemon/fleet_settings.h
@@ -29,14 +29,14 @@
   FleetRole role = FleetRole::kEdge;
   std::string zone;
   std::string ip;
-  std::int64_t first_port = 0;      // of those free for traffic between nodes
-  std::vector<std::string> seeds;   // addresses of core nodes; the port is not used
-  bool forms_group = false;         // the whole system starts for the first time
-  std::string data_folder;          // of a core node
+  std::int64_t first_port = 0;     // of those free for traffic between nodes
+  std::vector<std::string> seeds;  // addresses of core nodes; the port is not used
+  bool forms_group = false;        // the whole system starts for the first time
+  std::string data_folder;         // of a core node
   std::string client_address;
   std::string readiness_address;
   std::string control_address;
-  std::string platform_address;     // of the VM service; may be empty
+  std::string platform_address;  // of the VM service; may be empty
   FleetTiming timing;
 
   std::string peer_address() const { return ip + ":" + std::to_string(first_port); }
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -91,11 +91,11 @@
 /// What applying a command came to, for whoever asked for it.
 enum class ApplyOutcome : std::uint8_t {
   kApplied,
-  kNoQueue,       // no such queue
-  kBadKey,        // the key belongs to no team
+  kNoQueue,  // no such queue
+  kBadKey,   // the key belongs to no team
   kNoSuchJob,
-  kFull,          // the job table is full
-  kRejected,      // it contradicts the state; nothing was changed
+  kFull,      // the job table is full
+  kRejected,  // it contradicts the state; nothing was changed
 };
 
 }  // namespace godwitpaddle::jobs
--- a/jobs/orders.h
+++ b/jobs/orders.h
@@ -27,9 +27,9 @@
 
 /// Renews the lease of everything on the worker and asks for its lists.
 struct HoldOrder {
-  std::uint64_t noted_ends = 0;           // the worker may forget its ends up to this one
-  std::optional<std::int64_t> until_ms;   // without it the lease is not renewed
-  std::int64_t wait_ms = 0;               // the answer may wait so long for an end
+  std::uint64_t noted_ends = 0;          // the worker may forget its ends up to this one
+  std::optional<std::int64_t> until_ms;  // without it the lease is not renewed
+  std::int64_t wait_ms = 0;              // the answer may wait so long for an end
 };
 
 /// Lets a task work at a share of its speed.
@@ -123,10 +123,18 @@
 };
 using VmOrder = std::variant<ListVms, MoveVm, MaintainVm>;
 
-enum class VmOutcome : std::uint8_t { kDone, kFenced, kBusy, kNotInWave, kNoSuchVm, kThrottled,
-                                      kNotSent, kUnknown };
-inline constexpr EnumNames<8> kVmOutcomeNames = {"done",       "fenced",    "busy",     "not_in_wave",
-                                                 "no_such_vm", "throttled", "not_sent", "unknown"};
+enum class VmOutcome : std::uint8_t {
+  kDone,
+  kFenced,
+  kBusy,
+  kNotInWave,
+  kNoSuchVm,
+  kThrottled,
+  kNotSent,
+  kUnknown
+};
+inline constexpr EnumNames<8> kVmOutcomeNames = {
+    "done", "fenced", "busy", "not_in_wave", "no_such_vm", "throttled", "not_sent", "unknown"};
 
 struct VmReply {
   VmOutcome outcome = VmOutcome::kUnknown;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -56,6 +56,7 @@
   void PlaceGang(const Candidate& candidate, const StepRun& run);
   Room* Choose(const Candidate& candidate, const std::map<WorkerId, std::uint32_t>& here,
                bool last_attempt);
+  bool HasLastingTask(const Room& room) const;
   bool WithinLimit(const Job& job, const Resources& size) const;
   void Take(const Candidate& candidate, std::uint32_t index, std::uint32_t run, Room& room);
   std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
@@ -163,8 +164,7 @@
   std::uint32_t number = 0;
   for (const Task& task : run.tasks) number = std::max(number, task.run);
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-    Room* room =
-        WithinLimit(*candidate.job, step.size) ? Choose(candidate, here, false) : nullptr;
+    Room* room = WithinLimit(*candidate.job, step.size) ? Choose(candidate, here, false) : nullptr;
     if (room == nullptr) {
       starts_.resize(first);
       rooms_ = rooms;
@@ -197,7 +197,7 @@
   if (rooms == rooms_.end()) return nullptr;
   const Resources footprint = step.footprint();
   Room* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> best_worth;
+  std::tuple<bool, bool, bool, std::int64_t> best_worth;
   for (Room& room : rooms->second) {
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.left)) continue;
@@ -211,7 +211,9 @@
       if (count != here.end() && count->second >= step.max_per_worker) continue;
     }
     const bool near = step.data_rack.empty() || record.rack() == step.data_rack;
-    const std::tuple worth(near, room.proven || !last_attempt, room.left.cpu);
+    // Fuller workers first, so that others can be emptied; what lasts gathers on few of them.
+    const std::tuple worth(near, room.proven || !last_attempt, step.lasting && HasLastingTask(room),
+                           -room.left.cpu);
     if (best != nullptr && worth <= best_worth) continue;
     best = &room;
     best_worth = worth;
@@ -219,6 +221,12 @@
   return best;
 }
 
+bool Plan::HasLastingTask(const Room& room) const {
+  return std::ranges::any_of(room.worker->tasks, [this](const TaskId& task) {
+    return input_.state.FindJob(task.job)->spec.steps[task.step].lasting;
+  });
+}
+
 void Plan::Take(const Candidate& candidate, std::uint32_t index, std::uint32_t run, Room& room) {
   const Job& job = *candidate.job;
   const Step& step = job.spec.steps[candidate.step];
--- /dev/null
+++ b/jobs/pool_plan.cc
@@ -0,0 +1,123 @@
+#include "jobs/pool_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace godwitpaddle::jobs {
+namespace {
+
+/// While VMs are scarce, a pool that lacks less than this share waits: each move takes a VM away for
+/// longer than a task runs.
+constexpr double kScarceTolerance = 0.1;
+
+class MovePlan {
+ public:
+  MovePlan(std::vector<Pool> pools, const PoolPlanOptions& options, Micros now)
+      : pools_(std::move(pools)), options_(options), now_(now) {}
+
+  std::vector<PoolMove> Make() {
+    SetTargets();
+    while (Pool* taker = MostInNeed()) {
+      Pool* giver = BestGiver(*taker);
+      if (giver == nullptr) break;
+      Move(*giver, *taker);
+    }
+    SwitchOff();
+    return std::move(moves_);
+  }
+
+ private:
+  /// What each pool needs, or its share when there is less than all need.
+  void SetTargets() {
+    int needed = 0;
+    int there = 0;
+    for (const Pool& pool : pools_) {
+      needed += NeededVms(pool, options_);
+      there += pool.vms;
+    }
+    scarce_ = needed > there;
+    for (const Pool& pool : pools_) {
+      const int need = NeededVms(pool, options_);
+      const int share = scarce_ ? need * there / needed : need;
+      targets_[pool.service] = pool.standby ? 0 : std::max(share, options_.least_vms);
+    }
+  }
+
+  int Missing(const Pool& pool) const {
+    return pool.standby ? 0 : targets_.at(pool.service) - pool.vms;
+  }
+
+  /// The pool that lacks the largest share of its target.
+  Pool* MostInNeed() {
+    Pool* most = nullptr;
+    double worst = scarce_ ? kScarceTolerance : 0;
+    for (Pool& pool : pools_) {
+      const int missing = Missing(pool);
+      if (missing <= 0) continue;
+      const double share = static_cast<double>(missing) / targets_.at(pool.service);
+      if (share <= worst) continue;
+      most = &pool;
+      worst = share;
+    }
+    return most;
+  }
+
+  /// A pool that is off comes first; else the one with the most to spare.
+  Pool* BestGiver(const Pool& taker) {
+    Pool* best = nullptr;
+    for (Pool& pool : pools_) {
+      if (&pool == &taker || pool.movable.empty()) continue;
+      if (pool.standby) return &pool;
+      if (Missing(pool) >= 0) continue;
+      if (best == nullptr || Missing(pool) < Missing(*best)) best = &pool;
+    }
+    return best;
+  }
+
+  void Move(Pool& from, Pool& to) {
+    // VMs that are emptied already go on being emptied, else the plan would change its mind.
+    const auto vm = std::ranges::min_element(from.movable, {}, [](const PoolVm& one) {
+      return std::tuple(one.tasks > 0, !one.emptying, one.tasks, one.vm);
+    });
+    moves_.push_back({.vm = vm->vm, .from = from.service, .to = to.service});
+    from.movable.erase(vm);
+    --from.vms;
+    ++to.vms;
+  }
+
+  void SwitchOff() {
+    const auto off = std::ranges::find_if(pools_, [](const Pool& pool) { return pool.standby; });
+    if (off == pools_.end()) return;
+    for (Pool& pool : pools_) {
+      const bool lasts =
+          pool.surplus_since != 0 && now_ - pool.surplus_since >= options_.surplus_time;
+      if (pool.standby || !lasts) continue;
+      while (!pool.movable.empty() && -Missing(pool) > options_.spare_vms) Move(pool, *off);
+    }
+  }
+
+  std::vector<Pool> pools_;
+  const PoolPlanOptions& options_;
+  const Micros now_;
+  bool scarce_ = false;  // all pools together need more than there is
+  std::map<std::string, int> targets_;
+  std::vector<PoolMove> moves_;
+};
+
+}  // namespace
+
+int NeededVms(const Pool& pool, const PoolPlanOptions& options) {
+  if (pool.standby) return 0;
+  const double cores = std::max(1.0, pool.vm_cores);
+  return std::max(options.least_vms, static_cast<int>(std::ceil(pool.needed_cores / cores)));
+}
+
+std::vector<PoolMove> PlanMoves(std::vector<Pool> pools, const PoolPlanOptions& options,
+                                Micros now) {
+  return MovePlan(std::move(pools), options, now).Make();
+}
+
+}  // namespace godwitpaddle::jobs
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -22,8 +22,7 @@
 }
 
 std::string State::Encode() const {
-  return godwitpaddle::Encode(
-      Image(configuration_, jobs_, workers_, waves_, newest_wall_ms_));
+  return godwitpaddle::Encode(Image(configuration_, jobs_, workers_, waves_, newest_wall_ms_));
 }
 
 void State::Decode(const std::string& bytes) {
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -40,10 +40,10 @@
   std::uint32_t attempts = 1;
   JobSpec spec;
   JobPhase phase = JobPhase::kQueued;
-  std::int64_t accepted_ms = 0;        // Unix time
-  std::int64_t ended_ms = 0;           // Unix time; 0 while it goes on
-  std::vector<StepRun> steps;          // occurrence by occurrence
-  std::uint32_t assigned = 0;          // tasks that may be running
+  std::int64_t accepted_ms = 0;  // Unix time
+  std::int64_t ended_ms = 0;     // Unix time; 0 while it goes on
+  std::vector<StepRun> steps;    // occurrence by occurrence
+  std::uint32_t assigned = 0;    // tasks that may be running
   MSGPACK_DEFINE(id, queue, service, team, attempts, spec, phase, accepted_ms, ended_ms, steps,
                  assigned)
 
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -49,10 +49,10 @@
   bool lasting = false;                   // runs until the job is cancelled
   bool fills = false;                     // its cpu takes what others leave unused
   std::string required_label;
-  std::string data_rack;             // slower on other racks
-  std::string image;                 // tasks of one image behave alike
-  std::uint32_t max_per_worker = 0;  // 0: no limit
-  std::int64_t target_ms = 0;        // bound of a lasting task's tail response time; 0: none
+  std::string data_rack;              // slower on other racks
+  std::string image;                  // tasks of one image behave alike
+  std::uint32_t max_per_worker = 0;   // 0: no limit
+  std::int64_t target_ms = 0;         // bound of a lasting task's tail response time; 0: none
   std::uint32_t max_unavailable = 0;  // tasks that planned work may take away at once; 0: no bound
   MSGPACK_DEFINE(count, size, estimate_ms, depends_on, checkpoints, gang, same_rack, speculative,
                  lasting, fills, required_label, data_rack, image, max_per_worker, target_ms,
@@ -66,9 +66,9 @@
 struct JobSpec {
   std::string text;  // handed to the workers unchanged
   std::vector<Step> steps;
-  std::uint32_t repeat_count = 0;   // 0: runs once, at once
-  std::int64_t first_due_ms = 0;    // Unix time of the first occurrence
-  std::int64_t interval_ms = 0;     // between occurrences
+  std::uint32_t repeat_count = 0;  // 0: runs once, at once
+  std::int64_t first_due_ms = 0;   // Unix time of the first occurrence
+  std::int64_t interval_ms = 0;    // between occurrences
   MSGPACK_DEFINE(text, steps, repeat_count, first_due_ms, interval_ms)
 
   std::uint32_t occurrences() const { return repeat_count == 0 ? 1 : repeat_count; }
@@ -97,10 +97,10 @@
   std::string name;
   std::string host;
   std::string prefix;
-  std::string service;  // its workers run the tasks
-  int priority = 0;     // 0 comes first
-  std::uint32_t attempts = 1;  // failed runs after which a task has failed for good
-  double stretch = 1.0;        // objective: this times the job's longest chain of work
+  std::string service;                 // its workers run the tasks
+  int priority = 0;                    // 0 comes first
+  std::uint32_t attempts = 1;          // failed runs after which a task has failed for good
+  double stretch = 1.0;                // objective: this times the job's longest chain of work
   std::int64_t target_latency_ms = 0;  // plus this
   std::int64_t timeout_ms = 0;         // of one call
   bool open = false;                   // needs no key
@@ -171,10 +171,10 @@
   kDone,
   kFailed,
   kStopped,
-  kLapsed,  // its lease ran out
-  kBroken,  // another member of its gang ended
-  kAlone,   // its gang did not come together
-  kLost,    // certain not to run any more, though no worker said so
+  kLapsed,   // its lease ran out
+  kBroken,   // another member of its gang ended
+  kAlone,    // its gang did not come together
+  kLost,     // certain not to run any more, though no worker said so
   kRefused,  // the worker did not start it
 };
 inline constexpr EnumNames<8> kEndKindNames = {"done",   "failed", "stopped", "lapsed",
--- a/replication/storage.cc
+++ b/replication/storage.cc
@@ -208,8 +208,8 @@
   DropWhatSnapshotCovers();
 }
 
-/// Segments that a snapshot covers are removed one by one; after a loss of power each removal may be
-/// undone by itself. The entries behind the last gap are checked against the snapshot.
+/// Segments that a snapshot covers are removed one by one; after a loss of power each removal may
+/// be undone by itself. The entries behind the last gap are checked against the snapshot.
 void FileStorage::Impl::DropBeforeGap() {
   if (!stored.snapshot) return;
   std::size_t keep = 0;
--- a/runtime/settings.cc
+++ b/runtime/settings.cc
@@ -90,7 +90,9 @@
 
 }  // namespace
 
-Settings ParseSettings(const std::string& text) { return ReadObject(detail::ParseCommentedJson(text)); }
+Settings ParseSettings(const std::string& text) {
+  return ReadObject(detail::ParseCommentedJson(text));
+}
 
 Settings ReadSettings(const std::string& file) {
   return ParseSettings(detail::ReadSettingsText(file));
--- /dev/null
+++ b/tests/fake_worker.h
@@ -0,0 +1,70 @@
+#ifndef GODWITPADDLE_TESTS_FAKE_WORKER_H_
+#define GODWITPADDLE_TESTS_FAKE_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "jobs/orders.h"
+
+namespace godwitpaddle::testing {
+
+/// A worker as the platform describes it: leases on its own clock, fencing tokens, ends that are
+/// listed until they are acknowledged.
+class FakeWorker {
+ public:
+  struct Run {
+    std::uint32_t run = 0;
+    Micros ends = 0;  // virtual time
+    bool fails = false;
+    jobs::Resources size;
+  };
+
+  FakeWorker(jobs::WorkerRecord record, Micros now) : record_(std::move(record)), began_(now) {}
+
+  const jobs::WorkerRecord& record() const { return record_; }
+  jobs::WorkerRecord& record() { return record_; }
+  bool alive = true;
+  bool fails_all = false;
+  std::uint64_t sequence = 0;
+  double clock_rate = 1;
+
+  /// A new incarnation that knows nothing of before.
+  void Restart(std::int64_t born_ms, Micros now);
+  std::int64_t Clock(Micros now) const {
+    return static_cast<std::int64_t>(static_cast<double>(now - began_) * clock_rate / kMillisecond);
+  }
+  /// Ends what is due or has lost its lease.
+  void Advance(Micros now);
+  jobs::OrderReply Carry(const jobs::Order& order, std::uint64_t token, jobs::Resources size,
+                         Micros duration, Micros now);
+  const std::map<jobs::TaskId, Run>& running() const { return running_; }
+  std::uint64_t acknowledged() const { return acknowledged_; }
+  const std::vector<jobs::EndedRun>& ended() const { return ended_; }
+  bool lapsed_since_ack = false;
+  bool started = false;  // by the last start order
+
+ private:
+  jobs::OrderReply Start(const jobs::StartOrder& order, jobs::Resources size, Micros duration,
+                         Micros now);
+  jobs::OrderReply Hold(const jobs::HoldOrder& order, Micros now);
+  jobs::OrderReply Refuse(jobs::RefusalReason reason, Micros now) const;
+  void End(const jobs::TaskId& task, jobs::EndKind how);
+  void ExtendLease(std::int64_t until_ms, Micros now);
+
+  jobs::WorkerRecord record_;
+  Micros began_ = 0;
+  std::uint64_t token_ = 0;
+  std::int64_t lease_end_ms_ = 0;
+  std::uint64_t next_number_ = 1;
+  std::uint64_t acknowledged_ = 0;
+  std::map<jobs::TaskId, Run> running_;
+  std::map<jobs::TaskId, std::uint32_t> closed_;  // runs up to this one are refused
+  std::vector<jobs::EndedRun> ended_;
+};
+
+}  // namespace godwitpaddle::testing
+
+#endif  // GODWITPADDLE_TESTS_FAKE_WORKER_H_
--- /dev/null
+++ b/tests/job_cluster.cc
@@ -0,0 +1,380 @@
+#include "tests/job_cluster.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "tests/virtual_cluster.h"
+
+namespace godwitpaddle::testing {
+namespace {
+
+constexpr Micros kCoreTick = 20 * kMillisecond;
+constexpr Micros kEdgeTick = 50 * kMillisecond;
+constexpr Micros kHeartbeat = 1'500 * kMillisecond;
+constexpr Micros kMaintenance = 2 * kSecond;
+constexpr std::size_t kSeeds = 3;
+constexpr std::size_t kKeptLines = 400;
+
+}  // namespace
+
+JobCluster::JobCluster(JobClusterOptions options) : options_(options), rng_(options.seed) {
+  slots_.resize(options_.cores + options_.edges);
+  for (std::size_t node = 0; node < slots_.size(); ++node) by_address_[Address(node)] = node;
+  std::vector<std::string> seeds;
+  for (std::size_t node = 0; node < std::min(kSeeds, options_.cores); ++node) {
+    seeds.push_back(Address(node));
+  }
+  for (std::size_t node = 0; node < options_.cores; ++node) {
+    const bool is_seed = node < seeds.size();
+    slots_[node].replica =
+        is_seed ? jobs::FirstReplicaId(Address(node)) : "late-" + std::to_string(node);
+    if (is_seed) slots_[node].disk = jobs::FirstGroup(seeds);
+  }
+  for (std::size_t node = 0; node < slots_.size(); ++node) Start(node);
+}
+
+void JobCluster::At(Micros time, std::function<void()> action) {
+  queue_.push({.time = time, .order = next_order_++, .action = std::move(action)});
+}
+
+void JobCluster::RunFor(Micros time) {
+  const Micros end = now_ + time;
+  while (!queue_.empty() && queue_.top().time <= end) {
+    const Item item = queue_.top();
+    queue_.pop();
+    now_ = std::max(now_, item.time);
+    item.action();
+  }
+  now_ = end;
+}
+
+bool JobCluster::RunUntilTrue(const std::function<bool()>& condition, Micros limit) {
+  const Micros end = now_ + limit;
+  while (now_ < end) {
+    if (condition()) return true;
+    RunFor(5 * kMillisecond);
+  }
+  return condition();
+}
+
+Micros JobCluster::Delay() {
+  return 1 +
+         static_cast<Micros>(UniformBelow(rng_, static_cast<std::uint64_t>(options_.max_delay)));
+}
+
+void JobCluster::Violate(std::string what) {
+  violations.push_back(std::to_string(now_ / kMillisecond) + " ms: " + std::move(what));
+}
+
+// ---- nodes ----
+
+void JobCluster::Start(std::size_t node) {
+  Slot& slot = slots_[node];
+  if (alive(node)) return;
+  ++slot.life;
+  const std::uint64_t seed = rng_() >> 1U;
+  std::vector<std::string> seeds;
+  for (std::size_t one = 0; one < std::min(kSeeds, options_.cores); ++one) {
+    seeds.push_back(Address(one));
+  }
+  if (node < options_.cores) {
+    slot.core = std::make_unique<jobs::CoreNode>(
+        jobs::CoreNodeOptions{.node = Address(node),
+                              .zone = "zone-" + std::to_string(node % 3),
+                              .peer_address = Address(node),
+                              .seeds = seeds,
+                              .seed = seed,
+                              .leader = {.node = Address(node),
+                                         .fleet = {.lease_ms = 4'000, .stop_ms = 200},
+                                         .desk = {.holder = Address(node)}}},
+        slot.replica, slot.disk, now_);
+  } else {
+    slot.edge = std::make_unique<jobs::EdgeNode>(
+        jobs::GatewayOptions{.own_address = Address(node), .seeds = seeds, .first_call = seed});
+  }
+  ScheduleTick(node, slot.life);
+}
+
+void JobCluster::ScheduleTick(std::size_t node, std::uint64_t life) {
+  After(node < options_.cores ? kCoreTick : kEdgeTick, [this, node, life] {
+    if (slots_[node].life != life || !alive(node)) return;
+    Deliver(node, life, TickEvent{});
+    ScheduleTick(node, life);
+  });
+}
+
+void JobCluster::Forget(Slot& slot) {
+  slot.core.reset();
+  slot.edge.reset();
+  ++slot.life;
+  slot.frozen_until = 0;
+  for (auto& [connection, done] : std::exchange(slot.waiting, {})) {
+    done({.code = jobs::AnswerCode::kUnknown});
+  }
+}
+
+void JobCluster::Kill(std::size_t node) {
+  Slot& slot = slots_[node];
+  // The kernel still writes what the process handed over.
+  for (const auto& batch : std::exchange(slot.unsynced, {})) WriteBatch(slot.disk, batch);
+  Forget(slot);
+}
+
+void JobCluster::LosePower(std::size_t node) {
+  slots_[node].unsynced.clear();
+  Forget(slots_[node]);
+}
+
+void JobCluster::LoseDisk(std::size_t node) {
+  LosePower(node);
+  slots_[node].disk = {};
+  slots_[node].replica = "new-" + std::to_string(rng_());
+}
+
+void JobCluster::Freeze(std::size_t node, Micros duration) {
+  slots_[node].frozen_until = std::max(slots_[node].frozen_until, now_ + duration);
+}
+
+void JobCluster::Isolate(std::size_t node, Micros duration) {
+  isolated_[node] = std::max(isolated_[node], now_ + duration);
+}
+
+std::optional<std::size_t> JobCluster::Leader() const {
+  for (std::size_t node = 0; node < options_.cores; ++node) {
+    const Slot& slot = slots_[node];
+    if (slot.core && slot.frozen_until <= now_ && slot.core->Serving()) return node;
+  }
+  return std::nullopt;
+}
+
+void JobCluster::Deliver(std::size_t node, std::uint64_t life, jobs::Event event) {
+  Slot& slot = slots_[node];
+  if (slot.life != life || !alive(node)) return;
+  if (slot.frozen_until > now_) {
+    At(slot.frozen_until + 1, [this, node, life, event = std::move(event)]() mutable {
+      Deliver(node, life, std::move(event));
+    });
+    return;
+  }
+  Step(node, event);
+}
+
+void JobCluster::Step(std::size_t node, const jobs::Event& event) {
+  Slot& slot = slots_[node];
+  const WallMs wall_now = wall();
+  std::vector<jobs::Effect> effects =
+      slot.core ? slot.core->Step(event, now_, wall_now) : slot.edge->Step(event, now_, wall_now);
+  for (jobs::Effect& effect : effects) Carry(node, effect);
+}
+
+void JobCluster::Carry(std::size_t node, jobs::Effect& effect) {
+  Slot& slot = slots_[node];
+  if (auto* send = std::get_if<SendEffect>(&effect)) {
+    const auto to = by_address_.find(send->address);
+    if (to == by_address_.end() || isolated_[node] > now_ || isolated_[to->second] > now_) return;
+    if (Chance(options_.loss)) return;
+    After(Delay(), [this, to = to->second, life = slots_[to->second].life,
+                    message = std::move(send->message)]() mutable {
+      Deliver(to, life, PeerEvent{.message = std::move(message)});
+    });
+  } else if (auto* persist = std::get_if<PersistEffect>(&effect)) {
+    slot.unsynced.push_back(std::move(persist->batch));
+    After(2 * kMillisecond + Delay(), [this, node, life = slot.life] {
+      Slot& one = slots_[node];
+      if (one.life != life || one.unsynced.empty()) return;
+      const auto batch = one.unsynced.front();
+      one.unsynced.erase(one.unsynced.begin());
+      WriteBatch(one.disk, batch);
+      Deliver(node, life, SyncedEvent{.token = batch.token});
+    });
+  } else if (auto* answer = std::get_if<jobs::AnswerEffect>(&effect)) {
+    const auto found = slot.waiting.find(answer->connection);
+    if (found == slot.waiting.end()) return;
+    const OnAnswer done = std::move(found->second);
+    slot.waiting.erase(found);
+    done(answer->answer);
+  } else if (auto* order = std::get_if<jobs::OrderEffect>(&effect)) {
+    CarryOrder(node, std::move(*order));
+  } else if (auto* vm = std::get_if<jobs::VmEffect>(&effect)) {
+    CarryVmOrder(node, *vm);
+  } else if (auto* line = std::get_if<LogEffect>(&effect)) {
+    std::string text =
+        std::to_string(now_ / kMillisecond) + " " + Address(node) + " " + line->event;
+    for (const auto& [key, value] : line->fields) text.append(" ").append(key + "=" + value);
+    if (line->event == "invariant_violated") Violate(text);
+    log_.push_back(std::move(text));
+    if (log_.size() > kKeptLines) log_.erase(log_.begin());
+  }
+}
+
+void JobCluster::Call(std::size_t node, jobs::Call call, OnAnswer done, std::int64_t timeout_ms) {
+  Slot& slot = slots_[node];
+  if (!alive(node)) return done({.code = jobs::AnswerCode::kUnknown});
+  const std::uint64_t connection = next_connection_++;
+  slot.waiting[connection] = std::move(done);
+  Deliver(
+      node, slot.life,
+      jobs::CallEvent{.connection = connection, .call = std::move(call), .timeout_ms = timeout_ms});
+}
+
+jobs::Answer JobCluster::Ask(std::size_t node, jobs::Call call, std::int64_t timeout_ms) {
+  std::optional<jobs::Answer> answer;
+  Call(
+      node, std::move(call), [&](const jobs::Answer& one) { answer = one; }, timeout_ms);
+  RunUntilTrue([&] { return answer.has_value(); }, (timeout_ms + 1'000) * kMillisecond);
+  return answer.value_or(jobs::Answer{.code = jobs::AnswerCode::kUnknown});
+}
+
+// ---- workers ----
+
+FakeWorker& JobCluster::AddWorker(const std::string& service, jobs::Resources capacity) {
+  const std::uint64_t number = next_worker_++;
+  const jobs::WorkerId id = "worker-" + std::to_string(number);
+  jobs::WorkerRecord record{.id = id,
+                            .born_ms = wall(),
+                            .address = id,
+                            .service = service,
+                            .vm = "vm-" + std::to_string(number),
+                            .labels = {"a", "rack-" + std::to_string(number % 3)},
+                            .capacity = capacity};
+  FakeWorker& worker = workers_.emplace(id, FakeWorker(std::move(record), now_)).first->second;
+  worker.clock_rate = 0.98 + 0.02 * UniformUnit(rng_);
+  ScheduleHeartbeat(id);
+  return worker;
+}
+
+void JobCluster::ScheduleHeartbeat(const jobs::WorkerId& id) {
+  const auto found = workers_.find(id);
+  if (found != workers_.end() && found->second.alive && cut_workers_[id] <= now_) {
+    FakeWorker& worker = found->second;
+    const jobs::HeartbeatCall call{
+        .record = worker.record(), .sequence = ++worker.sequence, .clock_ms = worker.Clock(now_)};
+    Call(
+        UniformBelow(rng_, options_.cores), call, [](const jobs::Answer&) {}, 900);
+  }
+  After(kHeartbeat, [this, id] { ScheduleHeartbeat(id); });
+}
+
+void JobCluster::CrashWorker(const jobs::WorkerId& id) { workers_.at(id).alive = false; }
+
+void JobCluster::RestartWorker(const jobs::WorkerId& id) {
+  FakeWorker& worker = workers_.at(id);
+  worker.Restart(wall(), now_);
+}
+
+void JobCluster::CutWorker(const jobs::WorkerId& id, Micros duration) {
+  cut_workers_[id] = std::max(cut_workers_[id], now_ + duration);
+}
+
+void JobCluster::CarryOrder(std::size_t node, jobs::OrderEffect order) {
+  const std::uint64_t life = slots_[node].life;
+  const auto timeout = order.timeout_ms * kMillisecond;
+  const bool cut = cut_workers_[order.worker] > now_ || isolated_[node] > now_;
+  const auto worker = workers_.find(order.worker);
+  if (worker == workers_.end() || !worker->second.alive || cut) {
+    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+  }
+  if (Chance(options_.late_orders)) {
+    const Micros late = (2 + static_cast<Micros>(UniformBelow(rng_, 10))) * kSecond;
+    After(late, [this, node, life, order] { Execute(node, life, order, false); });
+    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+  }
+  const bool answered = !Chance(options_.lost_answers);
+  if (!answered) {
+    Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+  }
+  After(Delay(), [this, node, life, order, answered] { Execute(node, life, order, answered); });
+}
+
+void JobCluster::Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
+                         bool answered) {
+  const auto found = workers_.find(order.worker);
+  if (found == workers_.end() || !found->second.alive) return;
+  FakeWorker& worker = found->second;
+  jobs::Resources size;
+  Micros duration = 300 * kMillisecond;
+  const auto* start = std::get_if<jobs::StartOrder>(&order.order);
+  if (start != nullptr) {
+    // The text of a test's job is "cpu duration_ms".
+    const std::size_t blank = start->text.find(' ');
+    size.cpu = std::stoll(start->text);
+    duration = std::stoll(start->text.substr(blank + 1)) * kMillisecond;
+  }
+  const auto* hold = std::get_if<jobs::HoldOrder>(&order.order);
+  if (hold != nullptr) {
+    worker.Advance(now_);
+    for (const jobs::EndedRun& end : worker.ended()) {
+      if (end.number <= hold->noted_ends && end.how == jobs::EndKind::kDone &&
+          !worker.lapsed_since_ack) {
+        done_.insert(end.task);
+      }
+    }
+  }
+  const jobs::OrderReply reply =
+      worker.Carry(order.order, order.fencing_token, size, duration, now_);
+  if (hold != nullptr && worker.ended().empty()) worker.lapsed_since_ack = false;
+  if (start != nullptr && worker.started) CheckStart(worker, *start);
+  const bool waits = hold != nullptr && hold->wait_ms > 0 && reply.ended.empty();
+  if (waits && answered) {
+    // Answers after a part of the wait, with the lists of that time.
+    After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, node, life, order] {
+      jobs::OrderEffect again = order;
+      std::get<jobs::HoldOrder>(again.order).wait_ms = 0;
+      std::get<jobs::HoldOrder>(again.order).until_ms.reset();
+      Execute(node, life, again, true);
+    });
+    return;
+  }
+  if (answered) Reply(node, life, order.token, reply, Delay());
+}
+
+void JobCluster::Reply(std::size_t node, std::uint64_t life, std::uint64_t token,
+                       jobs::OrderReply reply, Micros delay) {
+  After(delay, [this, node, life, token, reply = std::move(reply)]() mutable {
+    Deliver(node, life, jobs::OrderEvent{.token = token, .reply = std::move(reply)});
+  });
+}
+
+void JobCluster::CheckStart(const FakeWorker& worker, const jobs::StartOrder& order) {
+  const std::string task = jobs::FormatTask(order.task) + " run " + std::to_string(order.run);
+  for (auto& [id, other] : workers_) {
+    if (&other == &worker || !other.alive) continue;
+    other.Advance(now_);
+    if (other.running().contains(order.task)) {
+      Violate(task + " on " + worker.record().id + " runs on " + id + " too");
+    }
+  }
+  if (done_.contains(order.task)) Violate(task + " starts after its end was noted as done");
+}
+
+void JobCluster::CarryVmOrder(std::size_t node, const jobs::VmEffect& effect) {
+  const std::uint64_t life = slots_[node].life;
+  jobs::VmReply reply{.outcome = jobs::VmOutcome::kDone};
+  if (const auto* maintain = std::get_if<jobs::MaintainVm>(&effect.order)) {
+    maintained.push_back(maintain->vm);
+    for (auto& [id, worker] : workers_) {
+      if (worker.record().vm != maintain->vm || !worker.alive) continue;
+      worker.alive = false;
+      const jobs::WorkerRecord old = worker.record();
+      After(kMaintenance, [this, old] {
+        FakeWorker& next = AddWorker(old.service, old.capacity);
+        next.record().vm = old.vm;
+      });
+      break;
+    }
+  } else {
+    for (const auto& [id, worker] : workers_) {
+      if (!worker.alive) continue;
+      reply.vms.push_back({.vm = worker.record().vm,
+                           .pool = worker.record().service,
+                           .capacity = worker.record().capacity,
+                           .worker = id});
+    }
+  }
+  After(5 * kMillisecond, [this, node, life, token = effect.token, reply = std::move(reply)] {
+    Deliver(node, life, jobs::VmEvent{.token = token, .reply = reply});
+  });
+}
+
+}  // namespace godwitpaddle::testing
--- /dev/null
+++ b/tests/job_cluster_test.cc
@@ -0,0 +1,217 @@
+#include "tests/job_cluster.h"
+
+#include <catch2/catch.hpp>
+
+namespace godwitpaddle::testing {
+namespace {
+
+using jobs::AnswerCode;
+using jobs::JobCallKind;
+
+jobs::ConfigureCall MakeConfiguration(std::uint64_t version, std::int64_t cpu_limit = 0) {
+  jobs::Configuration configuration{.version = version};
+  configuration.services = {{.name = "print"}, {.name = "dye"}};
+  configuration.queues = {{.name = "quotes",
+                           .host = "shop",
+                           .prefix = "/quotes/",
+                           .service = "print",
+                           .attempts = 3,
+                           .stretch = 2,
+                           .target_latency_ms = 600,
+                           .timeout_ms = 3'000}};
+  configuration.teams = {{.name = "mill", .keys = {"k1"}, .limit = {.cpu = cpu_limit}}};
+  configuration.document = "version " + std::to_string(version);
+  return {.configuration = configuration};
+}
+
+jobs::JobCall MakeCall(JobCallKind kind, jobs::JobId job, const std::string& key = "k1") {
+  jobs::JobCall call{
+      .kind = kind, .host = "shop", .path = "/quotes/" + jobs::FormatJob(job), .key = key};
+  if (kind == JobCallKind::kSubmit) {
+    call.spec.text = "1000 300";
+    call.spec.steps = {{.count = 4, .size = {.cpu = 1'000}, .estimate_ms = 300},
+                       {.count = 2, .size = {.cpu = 1'000}, .estimate_ms = 300, .depends_on = {0}}};
+  }
+  return call;
+}
+
+std::string PhaseOf(JobCluster& cluster, jobs::JobId job) {
+  return cluster.Ask(cluster.edge(1), MakeCall(JobCallKind::kQuery, job)).text;
+}
+
+void StartUp(JobCluster& cluster, std::size_t workers = 4) {
+  REQUIRE(cluster.RunUntilTrue([&] { return cluster.Leader().has_value(); }, 5 * kSecond));
+  cluster.RunFor(kSecond);
+  REQUIRE(cluster.Ask(0, MakeConfiguration(1)).code == AnswerCode::kOk);
+  for (std::size_t i = 0; i < workers; ++i) cluster.AddWorker("print", {.cpu = 8'000});
+  cluster.RunFor(2 * kSecond);
+}
+
+// Guards against a path that does not serve a job from its acceptance to its end.
+TEST_CASE("a job on a calm day") {
+  JobCluster cluster({});
+  StartUp(cluster);
+  SECTION("is accepted, run step by step and shown as completed") {
+    CHECK(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, 1)).code == AnswerCode::kOk);
+    CHECK(PhaseOf(cluster, 1) != "completed");
+    cluster.RunFor(2 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+    SECTION("and the same id again is the same job") {
+      CHECK(cluster.Ask(cluster.edge(1), MakeCall(JobCallKind::kSubmit, 1)).code ==
+            AnswerCode::kOk);
+      CHECK(PhaseOf(cluster, 1) == "completed");
+    }
+  }
+  SECTION("is refused without a key that a team has") {
+    CHECK(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, 2, "k9")).code ==
+          AnswerCode::kBadKey);
+    CHECK(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kQuery, 2)).code == AnswerCode::kGone);
+  }
+  SECTION("can be cancelled") {
+    cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, 3));
+    CHECK(cluster.Ask(cluster.edge(1), MakeCall(JobCallKind::kCancel, 3)).code == AnswerCode::kOk);
+    cluster.RunFor(kSecond);
+    CHECK(PhaseOf(cluster, 3) == "cancelled");
+    for (const auto& [id, worker] : cluster.workers()) CHECK(worker.running().empty());
+  }
+  SECTION("that does not exist is gone, and so is a queue") {
+    CHECK(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kCancel, 9)).code ==
+          AnswerCode::kGone);
+    jobs::JobCall other = MakeCall(JobCallKind::kQuery, 9);
+    other.host = "mall";
+    CHECK(cluster.Ask(cluster.edge(0), other).code == AnswerCode::kNoQueue);
+  }
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against loss of what was acknowledged, and against second runs.
+TEST_CASE("a job while nodes and workers fail") {
+  JobCluster cluster({});
+  StartUp(cluster);
+  REQUIRE(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, 1)).code == AnswerCode::kOk);
+  SECTION("outlives the leader") {
+    cluster.Kill(*cluster.Leader());
+    cluster.RunFor(5 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+  }
+  SECTION("outlives two lost disks while all else loses power") {
+    cluster.LoseDisk(*cluster.Leader());
+    for (std::size_t node = 0, lost = 0; node < cluster.cores(); ++node) {
+      if (!cluster.alive(node)) continue;
+      if (lost++ == 0) {
+        cluster.LoseDisk(node);
+      } else {
+        cluster.LosePower(node);
+      }
+    }
+    for (std::size_t node = 0; node < cluster.cores(); ++node) cluster.Start(node);
+    cluster.RunFor(8 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+  }
+  SECTION("outlives a worker that falls silent") {
+    cluster.CutWorker("worker-1", 30 * kSecond);
+    cluster.CutWorker("worker-2", 30 * kSecond);
+    cluster.RunFor(8 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+  }
+  SECTION("outlives a worker that starts again under its id") {
+    cluster.CrashWorker("worker-1");
+    cluster.RestartWorker("worker-1");
+    cluster.RunFor(5 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+  }
+  SECTION("outlives a leader that freezes and wakes") {
+    cluster.Freeze(*cluster.Leader(), 4 * kSecond);
+    cluster.RunFor(8 * kSecond);
+    CHECK(PhaseOf(cluster, 1) == "completed");
+  }
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against starts that are repeated elsewhere while an unanswered one may still be carried
+// out.
+TEST_CASE("orders that are answered late or never") {
+  JobCluster cluster({.seed = 7});
+  StartUp(cluster);
+  cluster.options().late_orders = 0.1;
+  cluster.options().lost_answers = 0.1;
+  for (jobs::JobId job = 1; job <= 30; ++job) {
+    cluster.Ask(cluster.edge(job % 2), MakeCall(JobCallKind::kSubmit, job));
+  }
+  cluster.RunFor(30 * kSecond);
+  cluster.options().late_orders = 0;
+  cluster.options().lost_answers = 0;
+  cluster.RunFor(15 * kSecond);
+  for (jobs::JobId job = 1; job <= 30; ++job) CHECK(PhaseOf(cluster, job) == "completed");
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a configuration that reverts, or that is shown older than acknowledged.
+TEST_CASE("configurations") {
+  JobCluster cluster({});
+  StartUp(cluster);
+  SECTION("the highest version is in force, and an older one is acknowledged without effect") {
+    CHECK(cluster.Ask(1, MakeConfiguration(7)).code == AnswerCode::kOk);
+    CHECK(cluster.Ask(2, MakeConfiguration(5)).code == AnswerCode::kOk);
+    CHECK(cluster.Ask(3, jobs::ReadConfigurationCall{}).text == "version 7");
+  }
+  SECTION("other content under the version in force has no effect") {
+    jobs::ConfigureCall other = MakeConfiguration(1);
+    other.configuration.document = "other";
+    CHECK(cluster.Ask(1, other).code == AnswerCode::kOk);
+    CHECK(cluster.Ask(4, jobs::ReadConfigurationCall{}).text == "version 1");
+  }
+  SECTION("two teams with one key are refused") {
+    jobs::ConfigureCall invalid = MakeConfiguration(8);
+    invalid.configuration.teams.push_back({.name = "other", .keys = {"k1"}});
+    CHECK(cluster.Ask(1, invalid).code == AnswerCode::kInvalid);
+    CHECK(cluster.Ask(1, jobs::ReadConfigurationCall{}).text == "version 1");
+  }
+  SECTION("a core node that is cut off does not answer for it") {
+    const std::size_t leader = *cluster.Leader();
+    cluster.Isolate(leader, 10 * kSecond);
+    cluster.RunFor(3 * kSecond);
+    CHECK(cluster.Ask(leader, jobs::ReadConfigurationCall{}).code == AnswerCode::kUnavailable);
+  }
+  SECTION("a withdrawn key is refused") {
+    jobs::ConfigureCall change = MakeConfiguration(9);
+    change.configuration.teams[0].keys = {"k2"};
+    CHECK(cluster.Ask(1, change).code == AnswerCode::kOk);
+    CHECK(cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, 5)).code ==
+          AnswerCode::kBadKey);
+  }
+  CHECK(cluster.violations.empty());
+}
+
+// Guards against a team that runs more than its limit.
+TEST_CASE("a team's limit holds over all workers") {
+  JobCluster cluster({});
+  StartUp(cluster);
+  REQUIRE(cluster.Ask(0, MakeConfiguration(2, 3'000)).code == AnswerCode::kOk);
+  for (jobs::JobId job = 1; job <= 4; ++job) {
+    cluster.Ask(cluster.edge(0), MakeCall(JobCallKind::kSubmit, job));
+  }
+  for (int round = 0; round < 200; ++round) {
+    cluster.RunFor(10 * kMillisecond);
+    std::size_t running = 0;
+    for (const auto& [id, worker] : cluster.workers()) running += worker.running().size();
+    CHECK(running <= 3);
+  }
+}
+
+// Guards against a wave that takes down more VMs than it may, or leaves one out.
+TEST_CASE("a wave maintains each VM once") {
+  JobCluster cluster({});
+  StartUp(cluster);
+  cluster.RunFor(4 * kSecond);
+  jobs::WaveCall wave{
+      .wave = {.wave = 1, .vms = {"vm-1", "vm-2", "vm-3"}, .duration_ms = 20'000, .max_down = 1}};
+  REQUIRE(cluster.Ask(0, wave).code == AnswerCode::kOk);
+  CHECK(cluster.Ask(1, jobs::WaveQueryCall{.wave = 1}).text == "running");
+  cluster.RunFor(20 * kSecond);
+  CHECK(cluster.Ask(1, jobs::WaveQueryCall{.wave = 1}).text == "completed");
+  CHECK(cluster.maintained.size() == 3);
+}
+
+}  // namespace
+}  // namespace godwitpaddle::testing
