--- a/control/leader.cc
+++ b/control/leader.cc
@@ -60,7 +60,7 @@
   term_ = term;
   proposals_.clear();
   askers_.clear();
-  starts_in_log_ = 0;
+  unapplied_starts_ = 0;
   fleet_.BeginTerm(term, now);
   desk_.BeginTerm(term, now);
   maintenance_.BeginTerm(now);
@@ -101,7 +101,6 @@
   std::uint64_t index = first_index;
   for (Proposal& proposal : proposals_) {
     if (proposal.has_asker) askers_[index] = std::move(proposal.asker);
-    if (std::holds_alternative<Assign>(proposal.command)) ++starts_in_log_;
     ++index;
   }
   proposals_.clear();
@@ -119,7 +118,7 @@
     Reply(asker->second, AnswerTo(command, outcome), out);
     askers_.erase(asker);
   }
-  if (std::holds_alternative<Assign>(command) && starts_in_log_ > 0) --starts_in_log_;
+  if (std::holds_alternative<Assign>(command) && unapplied_starts_ > 0) --unapplied_starts_;
   if (const auto* submit = std::get_if<Submit>(&command)) {
     const Job* job = state_.FindJob(submit->job);
     if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
@@ -342,13 +341,13 @@
     fleet_.Tick(now, wall, out);
   }
   // What is proposed to start on a VM must be seen before the VM is taken down as empty.
-  if (starts_in_log_ == 0) {
+  if (unapplied_starts_ == 0) {
     maintenance_.Tick(now, out);
     pools_.Tick(now, out);
   }
   desk_.Tick(now, out);
   const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
-  if (due && now >= next_plan_ && starts_in_log_ == 0) Plan(now, wall, out);
+  if (due && now >= next_plan_ && unapplied_starts_ == 0) Plan(now, wall, out);
 }
 
 void Leader::Plan(Micros now, WallMs wall, Outbox& out) {
@@ -367,6 +366,7 @@
                               {"run", std::to_string(start.run)},
                               {"worker", start.worker}});
     Propose(std::move(start));
+    ++unapplied_starts_;
   }
 }
 
--- a/control/leader.h
+++ b/control/leader.h
@@ -95,7 +95,7 @@
   replication::Term term_ = 0;
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Asker> askers_;  // by log index
-  std::size_t starts_in_log_ = 0;          // proposed starts that are not applied yet
+  std::size_t unapplied_starts_ = 0;       // planned starts that are not applied yet
   bool plan_due_ = false;
   Micros next_plan_ = 0;
   Micros next_fleet_tick_ = 0;
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -112,7 +112,7 @@
   if (worker == nullptr) return;
   for (const TaskId& task : worker->tasks) {
     const Step& step = state_.FindJob(task.job)->spec.steps[task.step];
-    if (step.lasting && (!fleet_.AtWork(task) || MayTakeAway(task))) fleet_.Stop(task, now, out);
+    if (step.lasting && MayTakeAway(task)) fleet_.Stop(task, now, out);
   }
 }
 
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -126,6 +126,21 @@
   return ApplyOutcome::kApplied;
 }
 
+/// What must hold at a start whatever the leader has planned.
+bool State::MayStart(const Job& job, const TaskId& id, const Worker& worker) const {
+  const Step& step = job.spec.steps[id.step];
+  for (const std::uint32_t before : step.depends_on) {
+    const StepRun& earlier = job.At(id.occurrence, before);
+    if (earlier.done < earlier.tasks.size()) return false;
+  }
+  if (!(worker.used + step.footprint()).FitsInto(worker.record.capacity)) return false;
+  if (step.max_per_worker == 0) return true;
+  const auto beside = std::ranges::count_if(worker.tasks, [&](const TaskId& other) {
+    return other.job == id.job && other.occurrence == id.occurrence && other.step == id.step;
+  });
+  return beside < static_cast<std::ptrdiff_t>(step.max_per_worker);
+}
+
 ApplyOutcome State::ApplyOne(const Assign& command) {
   Task* task = MutableTask(command.task);
   const auto worker = workers_.find(command.worker);
@@ -134,6 +149,7 @@
   if (!job.active() || task->phase != TaskPhase::kWaiting || command.run <= task->run) {
     return ApplyOutcome::kRejected;
   }
+  if (!MayStart(job, command.task, worker->second)) return ApplyOutcome::kRejected;
   task->phase = TaskPhase::kAssigned;
   task->run = command.run;
   task->worker = command.worker;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -120,6 +120,7 @@
   ApplyOutcome ApplyOne(const StartWave& command);
   ApplyOutcome ApplyOne(const NoteMaintained& command);
 
+  bool MayStart(const Job& job, const TaskId& id, const Worker& worker) const;
   Task* MutableTask(const TaskId& id);
   void Release(Job& job, const TaskId& id, Task& task);
   void Conclude(Job& job, const TaskId& id, Task& task, const NoteEnd& end);
--- a/tests/job_cluster_test.cc
+++ b/tests/job_cluster_test.cc
@@ -199,6 +199,28 @@
   }
 }
 
+// Guards against a plan that does not see the starts of the one before it, because these still wait
+// to be proposed.
+TEST_CASE("a step's bound per worker holds under load") {
+  JobCluster cluster({});
+  StartUp(cluster, 6);
+  jobs::JobId job = 0;
+  for (int round = 0; round < 400; ++round) {
+    ++job;
+    jobs::JobCall call = MakeCall(JobCallKind::kSubmit, job);
+    call.spec.text = "1500 " + std::to_string(20 + 7 * (job % 9));
+    call.spec.steps = {
+        {.count = 6, .size = {.cpu = 1'500}, .estimate_ms = 50, .max_per_worker = 1}};
+    cluster.Call(cluster.edge(job % 2), call, [](const jobs::Answer&) {});
+    cluster.RunFor(3 * kMillisecond);
+    for (const auto& [id, worker] : cluster.workers()) {
+      std::map<jobs::JobId, int> counts;
+      for (const auto& [task, run] : worker.running()) ++counts[task.job];
+      for (const auto& [one, count] : counts) CHECK(count <= 1);
+    }
+  }
+}
+
 // Guards against a wave that takes down more VMs than it may, or leaves one out.
 TEST_CASE("a wave maintains each VM once") {
   JobCluster cluster({});
--- /dev/null
+++ b/tests/job_state_test.cc
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+
+#include "jobs/state.h"
+
+namespace godwitpaddle::jobs {
+namespace {
+
+constexpr std::int64_t kWall = 1'700'000'000'000;
+
+Configuration MakeConfiguration(std::uint64_t version) {
+  Configuration configuration{.version = version};
+  configuration.services = {{.name = "print"}};
+  configuration.queues = {{.name = "quotes",
+                           .host = "shop",
+                           .prefix = "/q/",
+                           .service = "print",
+                           .attempts = 2,
+                           .timeout_ms = 1'000}};
+  configuration.teams = {{.name = "mill", .keys = {"k1"}}};
+  return configuration;
+}
+
+Submit MakeSubmit(JobId job, std::vector<Step> steps) {
+  return {.job = job, .queue = "quotes", .key = "k1", .wall_ms = kWall, .spec = {.steps = steps}};
+}
+
+NoteWorker MakeWorker(const WorkerId& id, std::int64_t born_ms, std::int64_t cpu) {
+  return {.record = {.id = id,
+                     .born_ms = born_ms,
+                     .service = "print",
+                     .capacity = {.cpu = cpu, .memory_mb = 1'000}}};
+}
+
+NoteEnd MakeEnd(const TaskId& task, std::uint32_t run, EndKind how, std::uint64_t number) {
+  return {.worker = "w1",
+          .born_ms = 1,
+          .number = number,
+          .task = task,
+          .run = run,
+          .how = how,
+          .wall_ms = kWall};
+}
+
+State MakeState() {
+  State state;
+  state.Apply(Configure{.configuration = MakeConfiguration(1)});
+  state.Apply(MakeWorker("w1", 1, 4'000));
+  state.Apply(MakeWorker("w2", 1, 4'000));
+  return state;
+}
+
+// Guards against starts that break a promise whatever the leader has planned.
+TEST_CASE("a start is refused by the replicated state") {
+  State state = MakeState();
+  state.Apply(MakeSubmit(1, {{.count = 3, .size = {.cpu = 1'000}, .max_per_worker = 1},
+                             {.count = 1, .size = {.cpu = 1'000}, .depends_on = {0}}}));
+  const TaskId first{.job = 1};
+  REQUIRE(state.Apply(Assign{.task = first, .run = 1, .worker = "w1"}) == ApplyOutcome::kApplied);
+  SECTION("when the task is assigned already") {
+    CHECK(state.Apply(Assign{.task = first, .run = 2, .worker = "w2"}) == ApplyOutcome::kRejected);
+  }
+  SECTION("beyond the step's bound per worker") {
+    CHECK(state.Apply(Assign{.task = {.job = 1, .index = 1}, .run = 1, .worker = "w1"}) ==
+          ApplyOutcome::kRejected);
+  }
+  SECTION("before the steps that it depends on are done") {
+    CHECK(state.Apply(Assign{.task = {.job = 1, .step = 1}, .run = 1, .worker = "w2"}) ==
+          ApplyOutcome::kRejected);
+  }
+  SECTION("over the worker's capacity") {
+    state.Apply(MakeSubmit(2, {{.count = 1, .size = {.cpu = 3'500}}}));
+    CHECK(state.Apply(Assign{.task = {.job = 2}, .run = 1, .worker = "w1"}) ==
+          ApplyOutcome::kRejected);
+    CHECK(state.Apply(Assign{.task = {.job = 2}, .run = 1, .worker = "w2"}) ==
+          ApplyOutcome::kApplied);
+  }
+  SECTION("after its end was noted as done") {
+    state.Apply(MakeEnd(first, 1, EndKind::kDone, 1));
+    CHECK(state.Apply(Assign{.task = first, .run = 2, .worker = "w2"}) == ApplyOutcome::kRejected);
+  }
+  SECTION("once the job is cancelled") {
+    state.Apply(Cancel{.job = 1, .wall_ms = kWall});
+    CHECK(state.Apply(Assign{.task = {.job = 1, .index = 1}, .run = 1, .worker = "w2"}) ==
+          ApplyOutcome::kRejected);
+  }
+}
+
+// Guards against jobs that end too early, too late or twice.
+TEST_CASE("the ends of runs") {
+  State state = MakeState();
+  state.Apply(MakeSubmit(1, {{.count = 1, .size = {.cpu = 1'000}, .checkpoints = true}}));
+  const TaskId task{.job = 1};
+  state.Apply(Assign{.task = task, .run = 1, .worker = "w1"});
+  SECTION("done: the job is completed, and its worker free") {
+    state.Apply(MakeEnd(task, 1, EndKind::kDone, 1));
+    CHECK(state.FindJob(1)->phase == JobPhase::kCompleted);
+    CHECK(state.FindWorker("w1")->tasks.empty());
+    CHECK(state.FindWorker("w1")->used.cpu == 0);
+    CHECK(state.open_jobs().empty());
+  }
+  SECTION("failed: the task runs again until its attempts are used up") {
+    state.Apply(MakeEnd(task, 1, EndKind::kFailed, 1));
+    CHECK(state.FindJob(1)->phase == JobPhase::kRunning);
+    state.Apply(Assign{.task = task, .run = 2, .worker = "w1"});
+    state.Apply(MakeEnd(task, 2, EndKind::kFailed, 2));
+    CHECK(state.FindJob(1)->phase == JobPhase::kFailed);
+  }
+  SECTION("lapsed ends are no failed attempts, and keep the checkpoint") {
+    NoteEnd end = MakeEnd(task, 1, EndKind::kLapsed, 1);
+    end.checkpoint = "c1";
+    state.Apply(end);
+    CHECK(state.FindTask(task)->failed_runs == 0);
+    CHECK(state.FindTask(task)->checkpoint == "c1");
+  }
+  SECTION("of an earlier run or listed again: nothing changes") {
+    state.Apply(MakeEnd(task, 1, EndKind::kStopped, 1));
+    state.Apply(Assign{.task = task, .run = 2, .worker = "w1"});
+    CHECK(state.Apply(MakeEnd(task, 2, EndKind::kDone, 1)) == ApplyOutcome::kRejected);
+    CHECK(state.Apply(MakeEnd(task, 1, EndKind::kDone, 2)) == ApplyOutcome::kApplied);
+    CHECK(state.FindJob(1)->phase == JobPhase::kRunning);
+  }
+  SECTION("a new incarnation counts its ends anew") {
+    state.Apply(MakeEnd(task, 1, EndKind::kStopped, 5));
+    state.Apply(MakeWorker("w1", 2, 4'000));
+    CHECK(state.FindWorker("w1")->noted_ends == 0);
+    CHECK(state.Apply(MakeWorker("w1", 1, 4'000)) == ApplyOutcome::kRejected);
+  }
+}
+
+// Guards against a configuration that reverts or lets a withdrawn key through.
+TEST_CASE("configurations and keys in the replicated state") {
+  State state = MakeState();
+  SECTION("an older version changes nothing") {
+    state.Apply(Configure{.configuration = MakeConfiguration(9)});
+    state.Apply(Configure{.configuration = MakeConfiguration(3)});
+    CHECK(state.configuration().version == 9);
+  }
+  SECTION("the key is checked where the job is made durable") {
+    Configuration without = MakeConfiguration(2);
+    without.teams[0].keys = {"k2"};
+    state.Apply(Configure{.configuration = without});
+    CHECK(state.Apply(MakeSubmit(1, {{.count = 1}})) == ApplyOutcome::kBadKey);
+    CHECK(state.FindJob(1) == nullptr);
+  }
+  SECTION("a configuration says what is wrong with it") {
+    Configuration twice = MakeConfiguration(2);
+    twice.queues.push_back(twice.queues[0]);
+    CHECK_THAT(CheckConfiguration(twice), Catch::Contains("host and prefix"));
+    Configuration unknown = MakeConfiguration(2);
+    unknown.queues[0].service = "none";
+    CHECK_THAT(CheckConfiguration(unknown), Catch::Contains("unknown service"));
+    Configuration endless = MakeConfiguration(2);
+    endless.queues[0].timeout_ms = 0;
+    CHECK_THAT(CheckConfiguration(endless), Catch::Contains("no timeout"));
+  }
+}
+
+// Guards against a snapshot that restores something else.
+TEST_CASE("the replicated state survives a snapshot") {
+  State state = MakeState();
+  state.Apply(MakeSubmit(1, {{.count = 2, .size = {.cpu = 1'000}}}));
+  state.Apply(Assign{.task = {.job = 1}, .run = 1, .worker = "w1"});
+  state.Apply(StartWave{.wave = 4, .vms = {"v1"}, .max_down = 1});
+  State restored;
+  restored.Decode(state.Encode());
+  CHECK(restored.Encode() == state.Encode());
+  CHECK(restored.open_jobs() == state.open_jobs());
+  CHECK(restored.team_usage().at("mill").cpu == 1'000);
+  SECTION("and goes on from there") {
+    CHECK(restored.Apply(Assign{.task = {.job = 1}, .run = 2, .worker = "w2"}) ==
+          ApplyOutcome::kRejected);
+    CHECK(restored.Apply(MakeEnd({.job = 1}, 1, EndKind::kDone, 1)) == ApplyOutcome::kApplied);
+  }
+  SECTION("ended jobs are kept for their time and then dropped") {
+    restored.Apply(Cancel{.job = 1, .wall_ms = kWall});
+    restored.Apply(MakeEnd({.job = 1}, 1, EndKind::kStopped, 1));
+    Submit late = MakeSubmit(2, {{.count = 1}});
+    late.wall_ms = kWall + 119'000;
+    restored.Apply(late);
+    CHECK(restored.FindJob(1) != nullptr);
+    late.job = 3;
+    late.wall_ms = kWall + 121'000;
+    restored.Apply(late);
+    CHECK(restored.FindJob(1) == nullptr);
+  }
+}
+
+}  // namespace
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/tests/pool_plan_test.cc
@@ -0,0 +1,88 @@
+#include "jobs/pool_plan.h"
+
+#include <catch2/catch.hpp>
+
+#include "jobs/demand.h"
+
+namespace godwitpaddle::jobs {
+namespace {
+
+Pool MakePool(const std::string& name, int vms, double needed_cores, std::size_t tasks = 0) {
+  Pool pool{.service = name, .needed_cores = needed_cores, .vm_cores = 64, .vms = vms};
+  for (int i = 0; i < vms; ++i) {
+    pool.movable.push_back({.vm = name + std::to_string(i), .tasks = tasks});
+  }
+  return pool;
+}
+
+// Guards against a queue that rises to several times its mean and finds only its own pool.
+TEST_CASE("VMs follow a demand that goes from pool to pool") {
+  const PoolPlanOptions options;
+  SECTION("a pool that is off is drawn on first") {
+    Pool off = MakePool("off", 4, 0);
+    off.standby = true;
+    const auto moves = PlanMoves({MakePool("a", 4, 500), MakePool("b", 8, 0), off}, options, 0);
+    REQUIRE(moves.size() == 4);
+    for (const PoolMove& move : moves) CHECK(move.to == "a");
+    CHECK(moves[0].from == "off");
+  }
+  SECTION("then the pools that have more than they need, idle VMs first") {
+    Pool busy = MakePool("b", 8, 0);
+    for (int i = 0; i < 6; ++i) busy.movable[i].tasks = 3;
+    const auto moves = PlanMoves({MakePool("a", 4, 384), busy}, options, 0);
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[0].vm == "b6");
+    CHECK(moves[1].vm == "b7");
+  }
+  SECTION("when all need more than there is, each gets its share") {
+    const auto moves = PlanMoves({MakePool("a", 20, 1'280), MakePool("b", 4, 1'280)}, options, 0);
+    CHECK(moves.size() >= 7);  // up to a tenth of its share is left alone
+    CHECK(moves.size() <= 8);
+  }
+  SECTION("and small differences are left alone") {
+    CHECK(PlanMoves({MakePool("a", 12, 1'280), MakePool("b", 11, 1'280)}, options, 0).empty());
+  }
+  SECTION("VMs that no pool needs are switched off, but not at once") {
+    Pool off = MakePool("off", 0, 0);
+    off.standby = true;
+    Pool idle = MakePool("a", 10, 64);
+    idle.surplus_since = kSecond;
+    CHECK(PlanMoves({idle, off}, options, 2 * kSecond).empty());
+    CHECK(PlanMoves({idle, off}, options, 4 * kSecond).size() == 6);
+  }
+}
+
+// Guards against VMs that are ordered only once the queue has built up, and against a single large
+// job that is taken for a wave.
+TEST_CASE("arriving work is forecast from its slope") {
+  ArrivalRate rate;
+  SECTION("a rising rate is carried on") {
+    for (int ms = 0; ms < 2'000; ms += 10) rate.Add(10 * (100 + ms / 2), (ms + 1) * kMillisecond);
+    const double now = 100 + 1'000;
+    CHECK(rate.Forecast(2'000 * kMillisecond, 0) > 0.8 * now);
+    CHECK(rate.Forecast(2'000 * kMillisecond, 1'000 * kMillisecond) > 1.2 * now);
+  }
+  SECTION("a steady rate stays") {
+    for (int ms = 0; ms < 2'000; ms += 10) rate.Add(1'000, (ms + 1) * kMillisecond);
+    CHECK(rate.Forecast(2'000 * kMillisecond, kSecond) == Approx(100).epsilon(0.1));
+  }
+  SECTION("one large job is no slope") {
+    rate.Add(160'000, 1'700 * kMillisecond);
+    CHECK(rate.Forecast(2'000 * kMillisecond, kSecond) < 160);
+  }
+  SECTION("nothing is forecast after a pause") {
+    rate.Add(160'000, kSecond);
+    CHECK(rate.Forecast(10 * kSecond, kSecond) == 0);
+  }
+}
+
+// Guards against estimates that are taken at their word.
+TEST_CASE("estimates are corrected by what runs took") {
+  Demand demand;
+  CHECK(demand.EstimateFactor("print") == 1);
+  for (int i = 0; i < 100; ++i) demand.OnDone("print", 500, 1'000);
+  CHECK(demand.EstimateFactor("print") == Approx(2).epsilon(0.01));
+}
+
+}  // namespace
+}  // namespace godwitpaddle::jobs
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,135 @@
+#include "platform/wire.h"
+
+#include <catch2/catch.hpp>
+
+namespace godwitpaddle::platform {
+namespace {
+
+HttpEvent MakeRequest(const std::string& method, const std::string& path, std::string body = {}) {
+  return {.connection = 7,
+          .method = method,
+          .path = path,
+          .headers = {{"host", "shop.example"}, {"authorization", "Token k1"}},
+          .body = std::move(body)};
+}
+
+int StatusOf(const Decoded& decoded) {
+  const auto* response = std::get_if<RespondEffect>(&decoded);
+  return response == nullptr ? 0 : response->status;
+}
+
+template <typename T>
+T CallOf(const Decoded& decoded) {
+  return std::get<T>(std::get<jobs::CallEvent>(decoded).call);
+}
+
+// Guards against a job that is read as something else than the client sent.
+TEST_CASE("a client's request is decoded") {
+  SECTION("a job with all that a step may say") {
+    const auto call = CallOf<jobs::JobCall>(DecodeClientRequest(MakeRequest(
+        "POST", "/q/5c0e7a21d94b36f8",
+        R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"gpu":1,"estimate_ms":900,
+            "data_rack":"r1-3","image":"i"},{"count":2,"depends_on":[0],"checkpointing":true,
+            "long_running":true,"may_miss":1,"anti_affinity":2,"target_ms":40,"fills":true}]})")));
+    CHECK(call.kind == jobs::JobCallKind::kSubmit);
+    CHECK(call.key == "k1");
+    CHECK(call.host == "shop.example");
+    REQUIRE(call.spec.steps.size() == 2);
+    CHECK(call.spec.steps[0].size.accelerators == 1);
+    CHECK(call.spec.steps[1].lasting);
+    CHECK(call.spec.steps[1].max_unavailable == 1);
+    CHECK(call.spec.steps[1].max_per_worker == 2);
+    CHECK(call.spec.steps[1].depends_on == std::vector<std::uint32_t>{0});
+  }
+  SECTION("one that cannot be read is refused, and nothing reaches the node") {
+    CHECK(StatusOf(DecodeClientRequest(MakeRequest("POST", "/q/1", "{\"steps\":[{\"co"))) == 400);
+    CHECK(StatusOf(DecodeClientRequest(MakeRequest("POST", "/q/1", R"({"steps":7})"))) == 400);
+    CHECK(StatusOf(DecodeClientRequest(
+              MakeRequest("POST", "/q/1", R"({"steps":[{"count":"four"}]})"))) == 400);
+    CHECK(StatusOf(DecodeClientRequest(
+              MakeRequest("POST", "/q/1", R"({"steps":[{"count":-1}]})"))) == 400);
+  }
+  SECTION("the client's patience goes with the call") {
+    HttpEvent request = MakeRequest("GET", "/q/");
+    request.headers["godwitpaddle-deadline-ms"] = "1200";
+    CHECK(std::get<jobs::CallEvent>(DecodeClientRequest(request)).timeout_ms == 1'200);
+  }
+}
+
+// Guards against a report that names a worker which is not there.
+TEST_CASE("a worker's report is decoded") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","machine":"m1",
+          "capacity":{"cpu":16000,"mem_mb":1,"gpu":0},"labels":["a","r1"],"clock_ms":5,"sequence":4,
+          "born":99})";
+  const auto call =
+      CallOf<jobs::HeartbeatCall>(DecodeControlRequest(MakeRequest("PUT", "/instances/i-1", good)));
+  CHECK(call.record.id == "i-1");
+  CHECK(call.record.born_ms == 99);
+  CHECK(call.record.vm == "m1");
+  CHECK(call.record.rack() == "r1");
+  SECTION("with a missing field or an unknown state it is refused") {
+    for (const char* bad : {R"({"service":"s"})", "\xff\x00", R"([1])"}) {
+      CHECK(StatusOf(DecodeControlRequest(MakeRequest("PUT", "/instances/i-1", bad))) == 400);
+    }
+    std::string odd = good;
+    odd.replace(odd.find("ready"), 5, "weary");
+    CHECK(StatusOf(DecodeControlRequest(MakeRequest("PUT", "/instances/i-1", odd))) == 400);
+  }
+}
+
+// Guards against a configuration that is taken though it is not whole.
+TEST_CASE("a configuration is decoded") {
+  const std::string good =
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","timeout_ms":3000,
+          "service":"s","attempts":3,"stretch":1.6,"public":true}],"services":[{"name":"s"}],
+          "tenants":[{"name":"t","api_keys":["k"],"weight":2,"cap":{"cpu":5}}]})";
+  const auto call =
+      CallOf<jobs::ConfigureCall>(DecodeControlRequest(MakeRequest("PUT", "/config", good)));
+  CHECK(call.configuration.version == 7);
+  CHECK(call.configuration.document == good);
+  CHECK(call.configuration.teams[0].limit.cpu == 5);
+  CHECK(StatusOf(DecodeControlRequest(
+            MakeRequest("PUT", "/config", good.substr(0, good.size() / 2)))) == 400);
+}
+
+// Guards against an order whose outcome is taken for certain when it is not.
+TEST_CASE("orders and their answers") {
+  const jobs::Order start = jobs::StartOrder{
+      .task = {.job = 0x5c0e7a21d94b36f8, .step = 1, .index = 17}, .run = 2, .until_ms = 9};
+  const HttpTransfer transfer = EncodeOrder({.address = "10.0.0.1:80",
+                                             .worker = "i-1",
+                                             .fencing_token = 7,
+                                             .order = start,
+                                             .timeout_ms = 400});
+  CHECK(transfer.url == "http://10.0.0.1:80/run-start");
+  CHECK_THAT(transfer.body, Catch::Contains("\"5c0e7a21d94b36f8.0.1.17\""));
+  CHECK(transfer.headers.at("Godwitpaddle-Expected-Instance") == "i-1");
+  const auto outcome = [&](TransferEnd end, int status, const std::string& body) {
+    return DecodeOrderReply(start, {.end = end, .status = status, .body = body}).outcome;
+  };
+  CHECK(outcome(TransferEnd::kAnswered, 200, R"({"clock_ms":1})") == jobs::OrderOutcome::kDone);
+  CHECK(outcome(TransferEnd::kNotSent, 0, "") == jobs::OrderOutcome::kNotSent);
+  CHECK(outcome(TransferEnd::kBroken, 0, "") == jobs::OrderOutcome::kUnknown);
+  CHECK(outcome(TransferEnd::kAnswered, 200, "{\"clo") == jobs::OrderOutcome::kUnknown);
+  CHECK(outcome(TransferEnd::kAnswered, 421, "") == jobs::OrderOutcome::kOtherInstance);
+  SECTION("the lists of a hold are read whole or not at all") {
+    const jobs::Order hold = jobs::HoldOrder{};
+    const auto reply = DecodeOrderReply(
+        hold, {.end = TransferEnd::kAnswered,
+               .status = 200,
+               .body = R"({"clock_ms":3,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,7]],
+                           "finished_runs":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done","s"]]})"});
+    CHECK(reply.born_ms == 9);
+    REQUIRE(reply.running.size() == 1);
+    CHECK(reply.running[0].figure == 7);
+    REQUIRE(reply.ended.size() == 1);
+    CHECK(reply.ended[0].how == jobs::EndKind::kDone);
+    const auto odd = DecodeOrderReply(
+        hold, {.end = TransferEnd::kAnswered, .status = 200, .body = R"({"running":[["x",2]]})"});
+    CHECK(odd.outcome == jobs::OrderOutcome::kUnknown);
+  }
+}
+
+}  // namespace
+}  // namespace godwitpaddle::platform
