Confirm a worker's incarnation before starts and acknowledgements

Ruled out: the waiting hold of the fake worker that outlived its process, and ends that count as noted after a lease has run out (both were faults of the fake worker).

--- a/bench/job_load.cc
+++ b/bench/job_load.cc
@@ -11,7 +11,6 @@
 // take for each start: job_load [WORKERS] [JOBS_PER_SECOND] [SECONDS].
 namespace {
 
-using godwitpaddle::kMillisecond;
 using godwitpaddle::kSecond;
 using godwitpaddle::testing::JobCluster;
 namespace jobs = godwitpaddle::jobs;
@@ -72,7 +71,7 @@
   int accepted = 0;
   for (int i = 0; i < rate * seconds; ++i) {
     cluster.Call(cluster.edge(static_cast<std::size_t>(i) % 4),
-                 MakeJob(static_cast<jobs::JobId>(i + 1)), [&](const jobs::Answer& answer) {
+                 MakeJob(static_cast<jobs::JobId>(i) + 1), [&](const jobs::Answer& answer) {
                    if (answer.code == jobs::AnswerCode::kOk) ++accepted;
                  });
     cluster.RunFor(kSecond / rate);
--- a/control/core_node.cc
+++ b/control/core_node.cc
@@ -232,7 +232,7 @@
     out_.Log("invariant_violated", {{"reason", error.what()}}, Severity::kError);
     out_.Count("invariant_violations_total");
   }
-  leader_.OnApplied(entry.index, command, outcome, now_, out_);
+  leader_.OnApplied(entry.index, command, outcome, now_, wall_, out_);
 }
 
 void CoreNode::FollowLeadership() {
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -111,7 +111,7 @@
 }
 
 void Leader::OnApplied(std::uint64_t index, const Command& command, ApplyOutcome outcome,
-                       Micros now, Outbox& out) {
+                       Micros now, WallMs wall, Outbox& out) {
   if (term_ == 0) return;
   const auto asker = askers_.find(index);
   if (asker != askers_.end()) {
@@ -124,7 +124,7 @@
     if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
   }
   if (const auto* end = std::get_if<NoteEnd>(&command)) LearnRunTime(*end, now);
-  fleet_.OnApplied(command, outcome, now, out);
+  fleet_.OnApplied(command, outcome, now, wall, out);
   if (const auto* cancel = std::get_if<Cancel>(&command)) StopEndedJob(cancel->job, now, out);
   if (const auto* end = std::get_if<NoteEnd>(&command)) StopEndedJob(end->task.job, now, out);
   if (const auto* change = std::get_if<Configure>(&command)) {
--- a/control/leader.h
+++ b/control/leader.h
@@ -40,7 +40,7 @@
   void OnOrderReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
   void OnVmReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
   void OnApplied(std::uint64_t index, const Command& command, ApplyOutcome outcome, Micros now,
-                 Outbox& out);
+                 WallMs wall, Outbox& out);
   /// Plans and renews; call after each event.
   void Tick(Micros now, WallMs wall, Outbox& out);
 
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -73,6 +73,7 @@
   view.has_clock = false;
   view.lease_end_ms = 0;
   view.listed = false;
+  view.confirmed = false;
   view.leaving = false;
   view.hold_at = now;
   view.proposed_ends = 0;
@@ -171,7 +172,8 @@
   const View& view = found->second;
   const Micros silence = kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
   return known->record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
-         view.listed && view.has_clock && now >= view.rest_until && now - view.last_heard < silence;
+         view.listed && view.confirmed && view.has_clock && now >= view.rest_until &&
+         now - view.last_heard < silence;
 }
 
 bool WorkerFleet::AtWork(const TaskId& task) const {
@@ -197,14 +199,19 @@
 
 // ---- what took effect ----
 
-void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now, Outbox& out) {
+void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now, WallMs wall,
+                            Outbox& out) {
   if (fencing_token_ == 0) return;
   if (const auto* assign = std::get_if<Assign>(&command)) {
     View* view = Find(assign->worker);
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
-    SendStart(assign->worker, *view, assign->task, run, now, out);
+    if (view->confirmed) {
+      SendStart(assign->worker, *view, assign->task, run, now, out);
+    } else {
+      Conclude(assign->worker, *view, assign->task, run, Conclusion::kNeverSent, wall, out);
+    }
   } else if (const auto* end = std::get_if<NoteEnd>(&command)) {
     View* view = Find(end->worker);
     if (view == nullptr) return;
@@ -255,8 +262,7 @@
                             Micros now, Outbox& out) {
   const Task* known = state_.FindTask(task);
   const Job* job = state_.FindJob(task.job);
-  const std::int64_t until =
-      view.suspect ? view.lease_end_ms : ExtendLease(view, kStartLeaseMs, now);
+  const std::int64_t until = ExtendLease(view, kStartLeaseMs, now);
   ++run.sends;
   ++starts_under_way_;
   run.start_out = true;
@@ -281,8 +287,12 @@
 
 void WorkerFleet::SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out) {
   const Worker* known = state_.FindWorker(worker);
-  HoldOrder hold{.noted_ends = known->noted_ends};
-  const bool renew = view.has_clock && !view.suspect && !view.leaving && !view.runs.empty();
+  // A worker that was silent may be another incarnation, whose ends are counted anew and must not
+  // be forgotten: nothing is acknowledged before a list has shown which one answers, nor twice.
+  const bool certain = view.listed && view.confirmed;
+  const bool to_forget = certain && known->noted_ends > view.told_ends;
+  HoldOrder hold{.noted_ends = to_forget ? known->noted_ends : 0};
+  const bool renew = view.has_clock && certain && !view.leaving && !view.runs.empty();
   if (renew) hold.until_ms = ExtendLease(view, options_.lease_ms, now);
   const bool settled = std::ranges::all_of(view.runs, [](const auto& entry) {
     return entry.second.phase == RunPhase::kRunning && !entry.second.stop_wanted;
@@ -332,6 +342,8 @@
               Severity::kWarning);
     }
     view->suspect = true;
+    view->confirmed = false;
+    view->hold_at = std::min(view->hold_at, now + kHoldPause);
   } else if (answered && view->suspect) {
     view->suspect = false;
     out.Log("worker_answers", {{"worker", sent.worker}});
@@ -432,6 +444,7 @@
   }
   if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
   view.listed = true;
+  view.confirmed = true;
   view.told_ends = std::max(view.told_ends, hold.noted_ends);
   view.proposed_ends = std::max(view.proposed_ends, hold.noted_ends);
   NoteEnds(sent.worker, view, reply, wall);
@@ -567,7 +580,7 @@
   }
   TickRuns(worker, view, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
-  const bool due = !view.listed || view.suspect || ends_to_forget || !view.runs.empty();
+  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty();
   const bool ends_pending = view.proposed_ends > known.noted_ends;
   if (due && !view.hold_out && !ends_pending && now >= view.hold_at) {
     SendHold(worker, view, now, out);
@@ -579,7 +592,10 @@
     if (run.end_proposed) continue;
     if (run.stop_wanted) {
       if (!run.stop_out && now >= run.stop_again_at) SendStop(worker, view, task, run, now, out);
-    } else if (run.phase == RunPhase::kStarting && !run.start_out && now >= run.resend_at) {
+    } else if (run.phase == RunPhase::kStarting && view.confirmed && !run.start_out &&
+               now >= run.resend_at) {
+      // Not before a list: a lease end on the clock of a former incarnation means nothing to the
+      // next.
       SendStart(worker, view, task, run, now, out);
     }
   }
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -40,7 +40,8 @@
   bool OnHeartbeat(const HeartbeatCall& call, Micros now, WallMs wall, Outbox& out);
   void OnLeave(const WorkerId& worker, Micros now);
   /// A command took effect.
-  void OnApplied(const Command& command, ApplyOutcome outcome, Micros now, Outbox& out);
+  void OnApplied(const Command& command, ApplyOutcome outcome, Micros now, WallMs wall,
+                 Outbox& out);
   void OnReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
   void Tick(Micros now, WallMs wall, Outbox& out);
 
@@ -71,7 +72,7 @@
   /// Why a run is certain not to be running though its worker listed no end.
   enum class Conclusion : std::uint8_t {
     kRefused,    // the worker said that it has not started it
-    kNeverSent,  // an earlier leader assigned it, and the worker does not have it
+    kNeverSent,  // it was assigned, and its start was not sent or was not carried out
     kStopped,    // a stop was answered, and a later list lacks it
     kUnlisted,   // it was there, and a later list lacks it
     kLapsed,     // every lease has run out
@@ -112,7 +113,8 @@
     bool listed = false;            // its lists were read in this term
     bool leaving = false;           // said goodbye
     Micros left_at = 0;
-    bool suspect = false;  // the last order was not answered
+    bool suspect = false;    // the last order was not answered
+    bool confirmed = false;  // a list since then came from this incarnation
     bool hold_out = false;
     Micros hold_at = 0;  // the next one is due
     Micros hold_sent_at = 0;
--- a/tests/fake_worker.cc
+++ b/tests/fake_worker.cc
@@ -29,14 +29,14 @@
     if (run.ends <= now) due.push_back(task);
   }
   std::ranges::sort(due, {}, [this](const jobs::TaskId& task) { return running_[task].ends; });
-  const bool lapsed = !running_.empty() && Clock(now) > lease_end_ms_;
+  const bool lapsed = Clock(now) > lease_end_ms_;
   for (const jobs::TaskId& task : due) {
     const Run& run = running_[task];
     if (lapsed && Clock(run.ends) > lease_end_ms_) continue;
     End(task, run.fails || fails_all ? jobs::EndKind::kFailed : jobs::EndKind::kDone);
   }
   if (!lapsed) return;
-  lapsed_since_ack = true;
+  for (const jobs::EndedRun& end : ended_) lapsed_ends_.insert(end.number);
   while (!running_.empty()) End(running_.begin()->first, jobs::EndKind::kLapsed);
 }
 
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,8 @@
   const std::map<jobs::TaskId, Run>& running() const { return running_; }
   std::uint64_t acknowledged() const { return acknowledged_; }
   const std::vector<jobs::EndedRun>& ended() const { return ended_; }
-  bool lapsed_since_ack = false;
+  /// Whether a lease ran out since this end, so that it does not count as noted any more.
+  bool HasLapsedSince(std::uint64_t number) const { return lapsed_ends_.contains(number); }
   bool started = false;  // by the last start order
 
  private:
@@ -63,6 +65,7 @@
   std::map<jobs::TaskId, Run> running_;
   std::map<jobs::TaskId, std::uint32_t> closed_;  // runs up to this one are refused
   std::vector<jobs::EndedRun> ended_;
+  std::set<std::uint64_t> lapsed_ends_;
 };
 
 }  // namespace godwitpaddle::testing
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -121,9 +121,7 @@
   Forget(slot);
 }
 
-void JobCluster::Shutdown(std::size_t node) {
-  Deliver(node, slots_[node].life, ShutdownEvent{});
-}
+void JobCluster::Shutdown(std::size_t node) { Deliver(node, slots_[node].life, ShutdownEvent{}); }
 
 void JobCluster::LosePower(std::size_t node) {
   slots_[node].unsynced.clear();
@@ -264,15 +262,21 @@
   After(kHeartbeat, [this, id] { ScheduleHeartbeat(id); });
 }
 
-void JobCluster::CrashWorker(const jobs::WorkerId& id) { workers_.at(id).alive = false; }
+void JobCluster::CrashWorker(const jobs::WorkerId& id) {
+  workers_.at(id).alive = false;
+  log_.push_back(std::to_string(now_ / kMillisecond) + " " + id + " crashed");
+}
 
 void JobCluster::RestartWorker(const jobs::WorkerId& id) {
   FakeWorker& worker = workers_.at(id);
   worker.Restart(wall(), now_);
+  log_.push_back(std::to_string(now_ / kMillisecond) + " " + id + " started again");
 }
 
 void JobCluster::CutWorker(const jobs::WorkerId& id, Micros duration) {
   cut_workers_[id] = std::max(cut_workers_[id], now_ + duration);
+  log_.push_back(std::to_string(now_ / kMillisecond) + " " + id + " cut off for " +
+                 std::to_string(duration / kMillisecond) + " ms");
 }
 
 void JobCluster::CarryOrder(std::size_t node, jobs::OrderEffect order) {
@@ -283,22 +287,28 @@
   if (worker == workers_.end() || !worker->second.alive || cut) {
     return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
   }
+  // An order that is on its way or waits within the worker's process ends with that process.
+  const std::int64_t born = worker->second.record().born_ms;
   if (Chance(options_.late_orders)) {
     const Micros late = (2 + static_cast<Micros>(UniformBelow(rng_, 10))) * kSecond;
-    After(late, [this, node, life, order] { Execute(node, life, order, false); });
+    After(late, [this, node, life, order, born] { Execute(node, life, order, born, false); });
     return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
   }
   const bool answered = !Chance(options_.lost_answers);
   if (!answered) {
     Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
   }
-  After(Delay(), [this, node, life, order, answered] { Execute(node, life, order, answered); });
+  After(Delay(),
+        [this, node, life, order, born, answered] { Execute(node, life, order, born, answered); });
 }
 
 void JobCluster::Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
-                         bool answered) {
+                         std::int64_t born, bool answered) {
   const auto found = workers_.find(order.worker);
   if (found == workers_.end() || !found->second.alive) return;
+  if (found->second.record().born_ms != born) {
+    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, Delay());
+  }
   FakeWorker& worker = found->second;
   jobs::Resources size;
   Micros duration = 300 * kMillisecond;
@@ -314,23 +324,22 @@
     worker.Advance(now_);
     for (const jobs::EndedRun& end : worker.ended()) {
       if (end.number <= hold->noted_ends && end.how == jobs::EndKind::kDone &&
-          !worker.lapsed_since_ack) {
+          !worker.HasLapsedSince(end.number)) {
         done_.insert(end.task);
       }
     }
   }
   const jobs::OrderReply reply =
       worker.Carry(order.order, order.fencing_token, size, duration, now_);
-  if (hold != nullptr && worker.ended().empty()) worker.lapsed_since_ack = false;
   if (start != nullptr && worker.started) CheckStart(worker, *start);
   const bool waits = hold != nullptr && hold->wait_ms > 0 && reply.ended.empty();
   if (waits && answered) {
     // Answers after a part of the wait, with the lists of that time.
-    After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, node, life, order] {
+    After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, node, life, order, born] {
       jobs::OrderEffect again = order;
       std::get<jobs::HoldOrder>(again.order).wait_ms = 0;
       std::get<jobs::HoldOrder>(again.order).until_ms.reset();
-      Execute(node, life, again, true);
+      Execute(node, life, again, born, true);
     });
     return;
   }
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -110,7 +110,8 @@
   void Carry(std::size_t node, jobs::Effect& effect);
   void CarryOrder(std::size_t node, jobs::OrderEffect order);
   void CarryVmOrder(std::size_t node, const jobs::VmEffect& effect);
-  void Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order, bool answered);
+  void Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
+               std::int64_t born, bool answered);
   void Reply(std::size_t node, std::uint64_t life, std::uint64_t token, jobs::OrderReply reply,
              Micros delay);
   void CheckStart(const FakeWorker& worker, const jobs::StartOrder& order);
--- /dev/null
+++ b/tests/job_soak.cc
@@ -0,0 +1,38 @@
+#include <popt.h>
+
+#include <cstdint>
+#include <iostream>
+
+#include "tests/job_soak_run.h"
+
+// Runs seeded runs of job control: job_soak [--seed FIRST] [--seeds COUNT] [--steps N]. Exits 1 on
+// a violation, after printing its seed and the nodes' last log lines.
+int main(int argc, const char** argv) {
+  int first = 1;
+  int count = 1;
+  int steps = 2'000;
+  const poptOption options[] = {
+      {"seed", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
+      {"seeds", 0, POPT_ARG_INT, &count, 0, "how many seeds", "N"},
+      {"steps", 0, POPT_ARG_INT, &steps, 0, "actions of clients, operators and faults", "N"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const poptContext context =
+      poptGetContext(nullptr, argc, argv, static_cast<const poptOption*>(options), 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed != -1 || count < 1 || steps < 1) {
+    std::cerr << "job_soak: bad options, see --help\n";
+    return 2;
+  }
+  int failed = 0;
+  for (int seed = first; seed < first + count; ++seed) {
+    const auto result = godwitpaddle::testing::RunJobSoak(
+        {.seed = static_cast<std::uint64_t>(seed), .steps = static_cast<std::uint64_t>(steps)});
+    std::cout << "seed=" << seed << " " << godwitpaddle::testing::JobSoakLine(result) << std::endl;
+    if (result.violations.empty()) continue;
+    ++failed;
+    for (const auto& violation : result.violations) std::cout << "  " << violation << "\n";
+    for (const auto& line : result.log) std::cout << "    " << line << "\n";
+  }
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/job_soak_run.cc
@@ -0,0 +1,326 @@
+#include "tests/job_soak_run.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "tests/job_cluster.h"
+
+namespace godwitpaddle::testing {
+namespace {
+
+using jobs::AnswerCode;
+using jobs::JobCallKind;
+
+constexpr std::size_t kWorkers = 8;
+constexpr std::size_t kMostDown = 2;    // core nodes that may be lost at once
+constexpr jobs::JobId kKeptJobs = 400;  // the clients of a run ask for no older ones
+constexpr Micros kLongestFault = 3 * kSecond;
+
+/// What the clients were told of one job.
+struct Known {
+  bool accepted = false;
+  int waiting = 0;        // submits without an answer yet
+  bool possible = false;  // an answer left it open or accepted it
+  bool cancelled = false;
+  Micros accepted_at = 0;
+};
+
+class Soak {
+ public:
+  explicit Soak(const JobSoakOptions& options)
+      : options_(options),
+        cluster_({.edges = 3,
+                  .seed = options.seed,
+                  .loss = 0.01,
+                  .lost_answers = 0.02,
+                  .late_orders = 0.01}) {}
+
+  JobSoakResult Run();
+
+ private:
+  std::uint64_t Draw(std::uint64_t bound) { return UniformBelow(cluster_.rng(), bound); }
+  /// A job that is recent enough to be kept.
+  jobs::JobId AnyJob() { return last_job_ - Draw(std::min(last_job_, kKeptJobs)); }
+  std::size_t AnyEdge() { return cluster_.edge(Draw(3)); }
+  void StartUp();
+  void Act();
+  void Submit(jobs::JobId job);
+  void Cancel(jobs::JobId job);
+  void Query(jobs::JobId job);
+  void Configure();
+  void ReadConfiguration();
+  void Break();
+  void BreakNode();
+  void BreakWorker();
+  void CheckWorkers();
+  void Heal();
+  void CheckEnd();
+  std::size_t Down() const;
+  jobs::JobCall MakeCall(JobCallKind kind, jobs::JobId job) const;
+  jobs::Configuration MakeConfiguration(std::uint64_t version) const;
+
+  const JobSoakOptions options_;
+  JobCluster cluster_;
+  JobSoakResult result_;
+  std::map<jobs::JobId, Known> known_;
+  jobs::JobId last_job_ = 0;
+  std::uint64_t last_version_ = 1;
+  std::uint64_t acknowledged_version_ = 1;
+  std::set<std::size_t> broken_;  // core nodes that are lost now
+};
+
+jobs::Configuration Soak::MakeConfiguration(std::uint64_t version) const {
+  jobs::Configuration configuration{.version = version};
+  configuration.services = {{.name = "print"}};
+  configuration.queues = {{.name = "quotes",
+                           .host = "shop",
+                           .prefix = "/q/",
+                           .service = "print",
+                           .attempts = 3,
+                           .stretch = 2,
+                           .target_latency_ms = 600,
+                           .timeout_ms = 3'000}};
+  configuration.teams = {{.name = "mill", .keys = {"k1"}}};
+  configuration.document = std::to_string(version);
+  return configuration;
+}
+
+jobs::JobCall Soak::MakeCall(JobCallKind kind, jobs::JobId job) const {
+  jobs::JobCall call{
+      .kind = kind, .host = "shop", .path = "/q/" + jobs::FormatJob(job), .key = "k1"};
+  if (kind != JobCallKind::kSubmit) return call;
+  call.spec.text = "1000 " + std::to_string(100 + job % 7 * 150);
+  call.spec.steps = {{.count = 1 + static_cast<std::uint32_t>(job % 4),
+                      .size = {.cpu = 1'000},
+                      .estimate_ms = 300,
+                      .max_per_worker = 1},
+                     {.count = 2, .size = {.cpu = 1'000}, .estimate_ms = 300, .depends_on = {0}}};
+  return call;
+}
+
+void Soak::StartUp() {
+  cluster_.RunUntilTrue([&] { return cluster_.Leader().has_value(); }, 10 * kSecond);
+  cluster_.RunFor(kSecond);
+  while (cluster_.Ask(0, jobs::ConfigureCall{.configuration = MakeConfiguration(1)}).code !=
+         AnswerCode::kOk) {
+  }
+  for (std::size_t i = 0; i < kWorkers; ++i) cluster_.AddWorker("print", {.cpu = 6'000});
+  cluster_.RunFor(2 * kSecond);
+}
+
+void Soak::Submit(jobs::JobId job) {
+  ++known_[job].waiting;
+  cluster_.Call(AnyEdge(), MakeCall(JobCallKind::kSubmit, job), [this, job](const auto& answer) {
+    Known& known = known_[job];
+    --known.waiting;
+    if (answer.code == AnswerCode::kOk) {
+      if (!known.accepted) ++result_.accepted;
+      known.accepted = true;
+      known.possible = true;
+      known.accepted_at = cluster_.now();
+    } else if (answer.code == AnswerCode::kUnknown) {
+      known.possible = true;
+      ++result_.unknown;
+    } else {
+      ++result_.refused;
+    }
+  });
+}
+
+void Soak::Cancel(jobs::JobId job) {
+  cluster_.Call(AnyEdge(), MakeCall(JobCallKind::kCancel, job), [this, job](const auto& answer) {
+    Known& known = known_[job];
+    if (answer.code == AnswerCode::kOk) known.cancelled = true;
+    // It may have been cancelled all the same.
+    if (answer.code == AnswerCode::kUnknown) known.cancelled = true;
+  });
+}
+
+void Soak::Query(jobs::JobId job) {
+  const bool accepted = known_[job].accepted;
+  cluster_.Call(AnyEdge(), MakeCall(JobCallKind::kQuery, job),
+                [this, job, accepted](const auto& answer) {
+                  if (accepted && answer.code == AnswerCode::kGone) {
+                    cluster_.Violate(jobs::FormatJob(job) + " was accepted and is gone");
+                  }
+                });
+}
+
+void Soak::Configure() {
+  const std::uint64_t version = last_version_ += 1 + Draw(3);
+  const auto send = [this, version] {
+    cluster_.Call(Draw(cluster_.cores()),
+                  jobs::ConfigureCall{.configuration = MakeConfiguration(version)},
+                  [this, version](const auto& answer) {
+                    if (answer.code != AnswerCode::kOk) return;
+                    acknowledged_version_ = std::max(acknowledged_version_, version);
+                  });
+  };
+  send();
+  if (Draw(2) == 0) send();  // two operators, or one that repeats itself
+}
+
+void Soak::ReadConfiguration() {
+  const std::uint64_t least = acknowledged_version_;
+  cluster_.Call(Draw(cluster_.cores()), jobs::ReadConfigurationCall{},
+                [this, least](const auto& answer) {
+                  if (answer.code != AnswerCode::kOk) return;
+                  if (std::stoull(answer.text) < least) {
+                    cluster_.Violate("version " + answer.text + " is shown after " +
+                                     std::to_string(least) + " was acknowledged");
+                  }
+                });
+}
+
+std::size_t Soak::Down() const { return broken_.size(); }
+
+void Soak::BreakNode() {
+  if (Down() >= kMostDown) return;
+  const std::size_t node = Draw(cluster_.cores());
+  if (broken_.contains(node)) return;
+  broken_.insert(node);
+  ++result_.faults;
+  const Micros time = 100 * kMillisecond + static_cast<Micros>(Draw(kLongestFault));
+  switch (Draw(6)) {
+    case 0:
+      cluster_.Kill(node);
+      break;
+    case 1:
+      cluster_.LosePower(node);
+      break;
+    case 2:
+      cluster_.LoseDisk(node);
+      break;
+    case 3:
+      cluster_.Freeze(node, time);
+      break;
+    case 4:
+      cluster_.Shutdown(node);
+      break;
+    default:
+      cluster_.Isolate(node, time);
+      break;
+  }
+  cluster_.After(time + 2 * kSecond, [this, node] {
+    if (!cluster_.alive(node)) cluster_.Start(node);
+    // A node counts as lost until it has caught up.
+    cluster_.After(4 * kSecond, [this, node] { broken_.erase(node); });
+  });
+}
+
+void Soak::BreakWorker() {
+  const jobs::WorkerId id = "worker-" + std::to_string(1 + Draw(kWorkers));
+  ++result_.faults;
+  const Micros time = 100 * kMillisecond + static_cast<Micros>(Draw(2 * kLongestFault));
+  if (Draw(2) == 0) {
+    cluster_.CutWorker(id, time);
+  } else {
+    cluster_.CrashWorker(id);
+    cluster_.After(time, [this, id] { cluster_.RestartWorker(id); });
+  }
+}
+
+void Soak::Break() {
+  if (Draw(3) == 0) {
+    BreakNode();
+  } else if (Draw(3) == 0) {
+    BreakWorker();
+  } else if (Draw(4) == 0) {
+    const std::size_t edge = AnyEdge();
+    cluster_.Isolate(edge, static_cast<Micros>(Draw(kLongestFault)));
+  }
+}
+
+void Soak::CheckWorkers() {
+  for (const auto& [id, worker] : cluster_.workers()) {
+    for (const auto& [task, run] : worker.running()) {
+      const auto known = known_.find(task.job);
+      if (known == known_.end()) {
+        cluster_.Violate(jobs::FormatTask(task) + " was never handed in");
+      } else if (known->second.waiting == 0 && !known->second.possible) {
+        cluster_.Violate(jobs::FormatTask(task) + " runs though its job was refused");
+      }
+    }
+  }
+}
+
+void Soak::Act() {
+  const std::uint64_t kind = Draw(100);
+  if (kind < 45) {
+    Submit(++last_job_);
+  } else if (kind < 55 && last_job_ > 0) {
+    Submit(AnyJob());  // again
+  } else if (kind < 62 && last_job_ > 0) {
+    Cancel(AnyJob());
+  } else if (kind < 80 && last_job_ > 0) {
+    Query(AnyJob());
+  } else if (kind < 84) {
+    Configure();
+  } else if (kind < 92) {
+    ReadConfiguration();
+  } else {
+    Break();
+  }
+  cluster_.RunFor(static_cast<Micros>(Draw(120)) * kMillisecond);
+  CheckWorkers();
+}
+
+void Soak::Heal() {
+  cluster_.options().loss = 0;
+  cluster_.options().late_orders = 0;
+  cluster_.options().lost_answers = 0;
+  cluster_.RunFor(12 * kSecond);
+  for (std::size_t node = 0; node < cluster_.size(); ++node) cluster_.Start(node);
+  for (auto& [id, worker] : cluster_.workers()) {
+    if (!worker.alive) cluster_.RestartWorker(id);
+  }
+  cluster_.RunFor(30 * kSecond);
+}
+
+void Soak::CheckEnd() {
+  if (!cluster_.RunUntilTrue([&] { return cluster_.Leader().has_value(); }, 10 * kSecond)) {
+    return cluster_.Violate("no leader though all is whole");
+  }
+  const jobs::Answer configuration = cluster_.Ask(0, jobs::ReadConfigurationCall{});
+  if (configuration.code != AnswerCode::kOk ||
+      std::stoull(configuration.text) < acknowledged_version_) {
+    cluster_.Violate("the configuration at the end is " + configuration.text);
+  }
+  for (const auto& [job, known] : known_) {
+    if (!known.accepted) continue;
+    // Ended jobs may be forgotten after their time.
+    if (cluster_.now() - known.accepted_at > 100 * kSecond) continue;
+    const std::string phase = cluster_.Ask(AnyEdge(), MakeCall(JobCallKind::kQuery, job)).text;
+    if (phase == "completed") ++result_.completed;
+    if (phase == "cancelled" && known.cancelled) ++result_.cancelled;
+    const bool good = phase == "completed" || (phase == "cancelled" && known.cancelled);
+    if (!good) cluster_.Violate(jobs::FormatJob(job) + " is " + phase + " at the end");
+  }
+}
+
+JobSoakResult Soak::Run() {
+  StartUp();
+  for (std::uint64_t step = 0; step < options_.steps && cluster_.violations.empty(); ++step) Act();
+  if (cluster_.violations.empty()) Heal();
+  if (cluster_.violations.empty()) CheckEnd();
+  result_.violations = cluster_.violations;
+  result_.log = cluster_.log();
+  return result_;
+}
+
+}  // namespace
+
+JobSoakResult RunJobSoak(const JobSoakOptions& options) { return Soak(options).Run(); }
+
+std::string JobSoakLine(const JobSoakResult& result) {
+  return "accepted=" + std::to_string(result.accepted) +
+         " completed=" + std::to_string(result.completed) +
+         " cancelled=" + std::to_string(result.cancelled) +
+         " refused=" + std::to_string(result.refused) +
+         " unknown=" + std::to_string(result.unknown) + " faults=" + std::to_string(result.faults) +
+         " violations=" + std::to_string(result.violations.size());
+}
+
+}  // namespace godwitpaddle::testing
