--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -4,21 +4,22 @@
 #include <set>
 #include <utility>
 
+#include "control/worker_timing.h"
+
 namespace godwitpaddle::jobs {
 namespace {
 
+using detail::kRetryPause;
+using detail::kStopTimeoutMs;
+
 /// Lease that a first start gives to an idle worker, until a hold renews it.
 constexpr std::int64_t kStartLeaseMs = 2'000;
 /// Lease time runs on the worker's clock, which may be slow by 2 percent.
 constexpr double kSlowestClock = 0.98;
 constexpr Micros kLapseMargin = 100 * kMillisecond;
 constexpr std::int64_t kStartTimeoutMs = 400;
-constexpr std::int64_t kStopTimeoutMs = 500;
 constexpr std::int64_t kListTimeoutMs = 700;
 constexpr std::int64_t kHoldWaitMs = 1'000;
-/// Pause between holds of a busy worker, so that one answer brings several ends.
-constexpr Micros kHoldPause = 30 * kMillisecond;
-constexpr Micros kRetryPause = 300 * kMillisecond;
 /// A worker whose process has said goodbye is gone after this.
 constexpr Micros kLeaveGrace = 700 * kMillisecond;
 constexpr Micros kLeaveProbe = 150 * kMillisecond;
@@ -26,13 +27,10 @@
 /// Reports that may be missing before a worker gets no new tasks.
 constexpr int kMissedHeartbeats = 2;
 constexpr Micros kHeartbeatSlack = 500 * kMillisecond;
-constexpr Micros kUnhealthyRest = kSecond;
 /// Failed runs in a row after which a worker rests, and for how long; doubled with each more.
 constexpr int kFailuresToRest = 2;
 constexpr Micros kFailureRest = 2 * kSecond;
 constexpr int kMaxRestDoublings = 3;
-/// A worker lists at most so many ends at once.
-constexpr std::size_t kListedEnds = 500;
 
 Micros LeaseToLocal(std::int64_t lease_ms) {
   return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
@@ -316,239 +314,6 @@
   SendStop(known->worker, *view, task, run->second, now, out);
 }
 
-// ---- replies ----
-
-void WorkerFleet::OnReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out) {
-  const auto found = sent_.find(event.token);
-  if (found == sent_.end()) return;
-  const Sent sent = std::move(found->second);
-  sent_.erase(found);
-  if (std::holds_alternative<StartOrder>(sent.order)) --starts_under_way_;
-  View* view = Find(sent.worker);
-  if (view == nullptr) return;
-  const OrderReply& reply = event.reply;
-  const bool answered =
-      reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
-  if (sent.born_ms == view->born_ms && answered) {
-    NoteClock(*view, reply.clock_ms, now);
-    view->last_heard = now;
-  }
-  if (reply.outcome == OrderOutcome::kNotSent || reply.outcome == OrderOutcome::kUnknown) {
-    if (!view->suspect) {
-      out.Log("worker_silent",
-              {{"worker", sent.worker},
-               {"outcome", std::string(NameOf(kOrderOutcomeNames, reply.outcome))},
-               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
-              Severity::kWarning);
-    }
-    view->suspect = true;
-    view->confirmed = false;
-    view->hold_at = std::min(view->hold_at, now + kHoldPause);
-  } else if (answered && view->suspect) {
-    view->suspect = false;
-    out.Log("worker_answers", {{"worker", sent.worker}});
-  }
-  if (reply.outcome == OrderOutcome::kOtherInstance && sent.born_ms == view->born_ms) {
-    out.Log("worker_replaced", {{"worker", sent.worker}}, Severity::kWarning);
-    ConcludeAll(sent.worker, *view, Conclusion::kReplaced, wall, out);
-    view->leaving = true;
-    view->left_at = now;
-  }
-  if (std::holds_alternative<StartOrder>(sent.order)) {
-    OnStartReply(sent, *view, reply, now, wall, out);
-  } else if (std::holds_alternative<StopOrder>(sent.order)) {
-    OnStopReply(sent, *view, reply, now);
-  } else if (std::holds_alternative<HoldOrder>(sent.order)) {
-    OnHoldReply(sent, *view, reply, now, wall, out);
-  }
-}
-
-void WorkerFleet::OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
-                               WallMs wall, Outbox& out) {
-  const auto& order = std::get<StartOrder>(sent.order);
-  const auto found = view.runs.find(order.task);
-  if (found == view.runs.end() || found->second.run != order.run) return;
-  Run& run = found->second;
-  run.start_out = false;
-  const auto refuse = [&](Micros rest) {
-    view.rest_until = std::max(view.rest_until, now + rest);
-    // An earlier copy that was not answered may still be carried out.
-    if (run.sends > 1) {
-      run.stop_wanted = true;
-    } else {
-      Conclude(sent.worker, view, order.task, run, Conclusion::kRefused, wall, out);
-    }
-  };
-  switch (reply.outcome) {
-    case OrderOutcome::kDone:
-      if (sent.born_ms == view.born_ms) {
-        run.phase = RunPhase::kRunning;
-        run.started_at = now;
-      }
-      break;
-    case OrderOutcome::kRefused:
-      if (reply.reason == RefusalReason::kOld) {
-        // It ran and ended, or was stopped: the next list tells.
-        run.phase = RunPhase::kRunning;
-        run.started_at = now;
-      } else if (reply.reason != RefusalReason::kFence) {
-        refuse(reply.reason == RefusalReason::kRoom ? kRetryPause : 0);
-      }
-      break;
-    case OrderOutcome::kUnhealthy:
-      refuse(kUnhealthyRest);
-      break;
-    case OrderOutcome::kNotSent:
-    case OrderOutcome::kInvalid:
-    case OrderOutcome::kOtherInstance:
-      refuse(kRetryPause);
-      break;
-    case OrderOutcome::kUnknown:
-      break;
-  }
-  run.resend_at = now + kRetryPause;
-  view.hold_at = std::min(view.hold_at, now + kHoldPause);
-}
-
-void WorkerFleet::OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now) {
-  const auto& order = std::get<StopOrder>(sent.order);
-  const auto found = view.runs.find(order.task);
-  if (found == view.runs.end() || found->second.run != order.run) return;
-  Run& run = found->second;
-  run.stop_out = false;
-  const bool known_there =
-      reply.outcome == OrderOutcome::kDone ||
-      (reply.outcome == OrderOutcome::kRefused && reply.reason == RefusalReason::kOld);
-  if (known_there && !run.stop_answered_at && sent.born_ms == view.born_ms) {
-    run.stop_answered_at = now;
-    view.hold_at = std::min(view.hold_at, now + kHoldPause);
-  }
-}
-
-void WorkerFleet::OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
-                              WallMs wall, Outbox& out) {
-  const auto& hold = std::get<HoldOrder>(sent.order);
-  view.hold_out = false;
-  if (reply.outcome != OrderOutcome::kDone) {
-    view.hold_at = now + kRetryPause;
-    if (view.leaving) ConcludeAll(sent.worker, view, Conclusion::kLeft, wall, out);
-    return;
-  }
-  view.hold_at = now + kHoldPause;
-  if (sent.born_ms != view.born_ms) return;
-  if (reply.born_ms > view.born_ms) {
-    WorkerRecord record = state_.FindWorker(sent.worker)->record;
-    record.born_ms = reply.born_ms;
-    propose_(NoteWorker{.record = std::move(record)});
-    return;
-  }
-  if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
-  view.listed = true;
-  view.confirmed = true;
-  view.told_ends = std::max(view.told_ends, hold.noted_ends);
-  view.proposed_ends = std::max(view.proposed_ends, hold.noted_ends);
-  NoteEnds(sent.worker, view, reply, wall);
-  NoteRunning(sent.worker, view, reply, now, out);
-  ConcludeUnlisted(sent, view, reply, wall, out);
-}
-
-void WorkerFleet::NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply,
-                           WallMs wall) {
-  for (const EndedRun& end : reply.ended) {
-    if (end.number <= view.proposed_ends) continue;
-    view.proposed_ends = end.number;
-    const auto run = view.runs.find(end.task);
-    const bool ours = run != view.runs.end() && run->second.run == end.run;
-    if (ours) run->second.end_proposed = true;
-    propose_(NoteEnd{.worker = worker,
-                     .born_ms = view.born_ms,
-                     .number = end.number,
-                     .task = end.task,
-                     .run = end.run,
-                     .how = end.how,
-                     .checkpoint = end.checkpoint,
-                     .wall_ms = wall});
-  }
-}
-
-void WorkerFleet::NoteRunning(const WorkerId& worker, View& view, const OrderReply& reply,
-                              Micros now, Outbox& out) {
-  for (const RunningTask& listed : reply.running) {
-    const auto run = view.runs.find(listed.task);
-    if (run != view.runs.end() && run->second.run == listed.run) {
-      if (run->second.phase != RunPhase::kRunning) {
-        run->second.phase = RunPhase::kRunning;
-        run->second.started_at = now;
-      }
-      run->second.percent = listed.percent;
-      run->second.figure = listed.figure;
-      continue;
-    }
-    // A start that was carried out late, after its run was given up.
-    Micros& again = view.strays[{listed.task, listed.run}];
-    if (again > now) continue;
-    again = now + kRetryPause;
-    out.Log("stray_run_stopped", {{"worker", worker},
-                                  {"task", FormatTask(listed.task)},
-                                  {"run", std::to_string(listed.run)}});
-    SendOrder(worker, view, StopOrder{.task = listed.task, .run = listed.run}, kStopTimeoutMs, now,
-              out);
-  }
-}
-
-void WorkerFleet::ConcludeUnlisted(const Sent& sent, View& view, const OrderReply& reply,
-                                   WallMs wall, Outbox& out) {
-  if (reply.ended.size() >= kListedEnds) return;
-  std::set<TaskId> listed;
-  for (const RunningTask& running : reply.running) listed.insert(running.task);
-  const Micros stop_time = options_.stop_ms * kMillisecond;
-  for (auto& [task, run] : view.runs) {
-    if (run.end_proposed || listed.contains(task)) continue;
-    const bool stopped = run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
-    const bool gone =
-        run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
-    if (run.phase == RunPhase::kInherited) {
-      // This list was answered under the new token, so the start can not be carried out any more.
-      Conclude(sent.worker, view, task, run, Conclusion::kNeverSent, wall, out);
-    } else if (stopped || gone) {
-      Conclude(sent.worker, view, task, run, stopped ? Conclusion::kStopped : Conclusion::kUnlisted,
-               wall, out);
-    }
-  }
-}
-
-void WorkerFleet::Conclude(const WorkerId& worker, View& view, const TaskId& task, Run& run,
-                           Conclusion conclusion, WallMs wall, Outbox& out) {
-  if (run.end_proposed) return;
-  run.end_proposed = true;
-  const EndKind how = kConclusionEnds.at(static_cast<std::size_t>(conclusion));
-  out.Log("run_concluded", {{"task", FormatTask(task)},
-                            {"run", std::to_string(run.run)},
-                            {"worker", worker},
-                            {"how", std::string(NameOf(kEndKindNames, how))},
-                            {"reason", std::string(NameOf(kConclusionNames, conclusion))},
-                            {"sends", std::to_string(run.sends)}});
-  propose_(NoteEnd{.worker = worker,
-                   .born_ms = view.born_ms,
-                   .task = task,
-                   .run = run.run,
-                   .how = how,
-                   .wall_ms = wall});
-}
-
-void WorkerFleet::Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out) {
-  View* view = Find(worker);
-  if (view == nullptr) return;
-  ConcludeAll(worker, *view, Conclusion::kTakenDown, wall, out);
-  view->leaving = true;
-  view->left_at = now;
-}
-
-void WorkerFleet::ConcludeAll(const WorkerId& worker, View& view, Conclusion conclusion,
-                              WallMs wall, Outbox& out) {
-  for (auto& [task, run] : view.runs) Conclude(worker, view, task, run, conclusion, wall, out);
-}
-
 // ---- time ----
 
 void WorkerFleet::Tick(Micros now, WallMs wall, Outbox& out) {
