--- a/jobs/types.h
+++ b/jobs/types.h
@@ -14,7 +14,7 @@
 
 namespace godwitpaddle::jobs {
 
-/// Chosen by the client; the same id always names the same job.
+/// The client's id of a job; the same id always names the same job.
 using JobId = std::uint64_t;
 using WorkerId = std::string;
 using VmId = std::string;
