--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -33,7 +33,8 @@
 constexpr auto kDiskRetry = std::chrono::milliseconds(300);
 /// Lease of running tasks: long enough for an election and a round of holds.
 constexpr std::int64_t kTaskLeaseMs = 4'000;
-/// Connections to workers: one that waits for ends and a few for orders, kept while the worker lives.
+/// Connections to workers: one that waits for ends and a few for orders, kept while the worker
+/// lives.
 constexpr HttpClientOptions kOrderConnections = {
     .max_idle_s = 60, .kept_connections = 1'600, .connections_per_server = 4};
 constexpr std::size_t kMaxBodyBytes = 4U << 20U;  // a worker's report may be so large
--- a/replication/messages.h
+++ b/replication/messages.h
@@ -55,7 +55,7 @@
   bool pre_vote = false;
   Index last_index = 0;
   Term last_term = 0;
-  std::string address;  // of the candidate, which the voter may not know as a member yet
+  std::string address;       // of the candidate, which the voter may not know as a member yet
   bool handed_over = false;  // the leader asked for this election and vouches for nothing any more
   MSGPACK_DEFINE(term, pre_vote, last_index, last_term, address, handed_over)
 };
--- a/replication/replica.cc
+++ b/replication/replica.cc
@@ -205,7 +205,8 @@
 }
 
 bool Replica::HoldsLease(Micros now) const {
-  return is_leader() && !impl_->handed_over && now - impl_->QuorumAckedSent(now) < impl_->options.leader_lease;
+  return is_leader() && !impl_->handed_over &&
+         now - impl_->QuorumAckedSent(now) < impl_->options.leader_lease;
 }
 
 bool Replica::KnowsCommit() const { return is_leader() && impl_->commit >= impl_->term_start; }
--- a/replication/replica.h
+++ b/replication/replica.h
@@ -90,8 +90,8 @@
   /// Leader: removes a member. Refused (false) for the last voter.
   bool Remove(const ReplicaId& id, Micros now, Effects& effects);
 
-  /// Leader: asks the voter with the longest log to take over, and vouches for nothing from then on.
-  /// For a process that is about to end. False when there is no voter to ask.
+  /// Leader: asks the voter with the longest log to take over, and vouches for nothing from then
+  /// on. For a process that is about to end. False when there is no voter to ask.
   bool HandOver(Micros now, Effects& effects);
 
   /// The driver hands in the state applied at `index`; the log before it may be dropped.
--- a/tests/replication_cluster.cc
+++ b/tests/replication_cluster.cc
@@ -235,8 +235,8 @@
 }
 
 void Cluster::Transmit(int from, const Envelope& envelope) {
-  static constexpr const char* kNames[] = {"vote",         "vote_reply", "append",
-                                           "append_reply", "chunk",      "chunk_reply", "take_over"};
+  static constexpr const char* kNames[] = {"vote",  "vote_reply",  "append",   "append_reply",
+                                           "chunk", "chunk_reply", "take_over"};
   ++messages_;
   ++sent[kNames[envelope.message.index()]];
   int to = -1;
