--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -197,7 +197,7 @@
     slot.waiting.erase(found);
     done(answer->answer);
   } else if (auto* order = std::get_if<jobs::OrderEffect>(&effect)) {
-    CarryOrder(node, std::move(*order));
+    CarryOrder(node, *order);
   } else if (auto* vm = std::get_if<jobs::VmEffect>(&effect)) {
     CarryVmOrder(node, *vm);
   } else if (std::holds_alternative<ExitEffect>(effect)) {
@@ -207,7 +207,9 @@
   } else if (auto* line = std::get_if<LogEffect>(&effect)) {
     std::string text =
         std::to_string(now_ / kMillisecond) + " " + Address(node) + " " + line->event;
-    for (const auto& [key, value] : line->fields) text.append(" ").append(key + "=" + value);
+    for (const auto& [key, value] : line->fields) {
+      text.append(" ").append(key).append("=").append(value);
+    }
     if (line->event == "invariant_violated") Violate(text);
     log_.push_back(std::move(text));
     if (log_.size() > kKeptLines) log_.erase(log_.begin());
@@ -279,7 +281,7 @@
                  std::to_string(duration / kMillisecond) + " ms");
 }
 
-void JobCluster::CarryOrder(std::size_t node, jobs::OrderEffect order) {
+void JobCluster::CarryOrder(std::size_t node, const jobs::OrderEffect& order) {
   const std::uint64_t life = slots_[node].life;
   const auto timeout = order.timeout_ms * kMillisecond;
   const bool cut = cut_workers_[order.worker] > now_ || isolated_[node] > now_;
@@ -359,7 +361,9 @@
     if (&other == &worker || !other.alive) continue;
     other.Advance(now_);
     if (other.running().contains(order.task)) {
-      Violate(task + " on " + worker.record().id + " runs on " + id + " too");
+      std::string what = task;
+      what.append(" on ").append(worker.record().id).append(" runs on ").append(id).append(" too");
+      Violate(std::move(what));
     }
   }
   if (done_.contains(order.task)) Violate(task + " starts after its end was noted as done");
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -108,7 +108,7 @@
   void Deliver(std::size_t node, std::uint64_t life, jobs::Event event);
   void Step(std::size_t node, const jobs::Event& event);
   void Carry(std::size_t node, jobs::Effect& effect);
-  void CarryOrder(std::size_t node, jobs::OrderEffect order);
+  void CarryOrder(std::size_t node, const jobs::OrderEffect& order);
   void CarryVmOrder(std::size_t node, const jobs::VmEffect& effect);
   void Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
                std::int64_t born, bool answered);
