--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -299,7 +299,7 @@
   view.hold_out = true;
   view.hold_sent_at = now;
   const std::int64_t timeout = hold.wait_ms + kListTimeoutMs;
-  SendOrder(worker, view, std::move(hold), timeout, now, out);
+  SendOrder(worker, view, hold, timeout, now, out);
   out.Count("holds_sent_total");
 }
 
