--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -307,8 +307,9 @@
 void JobCluster::Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
                          std::int64_t born, bool answered) {
   const auto found = workers_.find(order.worker);
-  if (found == workers_.end() || !found->second.alive) return;
-  if (found->second.record().born_ms != born) {
+  const bool gone = found == workers_.end() || !found->second.alive;
+  if (gone || found->second.record().born_ms != born) {
+    if (!answered) return;
     return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, Delay());
   }
   FakeWorker& worker = found->second;
