--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -229,7 +229,7 @@
   if (!address.empty()) {
     calls = std::make_unique<HttpServer>(
         MakeServerOptions(address),
-        HttpServer::Handlers{.deliver = [this](HttpEvent event) { return Deliver(event); },
+        HttpServer::Handlers{.deliver = [this](const HttpEvent& event) { return Deliver(event); },
                              .closed =
                                  [this](std::uint64_t connection) {
                                    driver->mailbox().ForcePush(
--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -41,7 +41,7 @@
     scarce_ = needed > there;
     for (const Pool& pool : pools_) {
       const int need = NeededVms(pool, options_);
-      const int share = scarce_ ? need * there / needed : need;
+      const int share = scarce_ && needed > 0 ? need * there / needed : need;
       targets_[pool.service] = pool.standby ? 0 : std::max(share, options_.least_vms);
     }
   }
--- a/tests/fake_worker.cc
+++ b/tests/fake_worker.cc
@@ -71,7 +71,7 @@
 jobs::OrderReply FakeWorker::Start(const jobs::StartOrder& order, jobs::Resources size,
                                    Micros duration, Micros now) {
   const auto run = running_.find(order.task);
-  const jobs::OrderReply good{.outcome = jobs::OrderOutcome::kDone, .clock_ms = Clock(now)};
+  jobs::OrderReply good{.outcome = jobs::OrderOutcome::kDone, .clock_ms = Clock(now)};
   if (run != running_.end() && run->second.run == order.run) return good;
   const auto closed = closed_.find(order.task);
   if (closed != closed_.end() && order.run <= closed->second) {
--- a/tests/job_state_test.cc
+++ b/tests/job_state_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 #include "jobs/state.h"
 
@@ -21,7 +23,7 @@
 }
 
 Submit MakeSubmit(JobId job, std::vector<Step> steps) {
-  return {.job = job, .queue = "quotes", .key = "k1", .wall_ms = kWall, .spec = {.steps = steps}};
+  return {.job = job, .queue = "quotes", .key = "k1", .wall_ms = kWall, .spec = {.steps = std::move(steps)}};
 }
 
 NoteWorker MakeWorker(const WorkerId& id, std::int64_t born_ms, std::int64_t cpu) {
--- a/tests/pool_plan_test.cc
+++ b/tests/pool_plan_test.cc
@@ -57,7 +57,9 @@
 TEST_CASE("arriving work is forecast from its slope") {
   ArrivalRate rate;
   SECTION("a rising rate is carried on") {
-    for (int ms = 0; ms < 2'000; ms += 10) rate.Add(10 * (100 + ms / 2), (ms + 1) * kMillisecond);
+    for (std::int64_t ms = 0; ms < 2'000; ms += 10) {
+      rate.Add(10 * (100 + ms / 2), (ms + 1) * kMillisecond);
+    }
     const double now = 100 + 1'000;
     CHECK(rate.Forecast(2'000 * kMillisecond, 0) > 0.8 * now);
     CHECK(rate.Forecast(2'000 * kMillisecond, 1'000 * kMillisecond) > 1.2 * now);
