Plan and tick without a look-up by name for each worker

Ruled out: the choice of a worker for a task itself. Now plans and ticks walk both maps side by side, queues and teams are looked up once a plan, and workers are indexed by VM once a wave tick.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -355,13 +355,14 @@
   next_plan_ = now + kPlanPause + static_cast<Micros>(state_.open_jobs().size()) * kPlanPausePerJob;
   const std::size_t under_way = fleet_.StartsUnderWay();
   if (under_way >= kStartsAtOnce) return;
-  auto sights = fleet_.Sights(now);
-  for (auto& [id, sight] : sights) {
-    const Worker* worker = state_.FindWorker(id);
-    if (worker == nullptr) continue;
-    if (maintenance_.IsCordoned(*worker) || pools_.IsCordoned(*worker)) sight.usable = false;
-  }
-  for (Assign& start : PlanStarts({.state = state_, .sights = sights, .wall_ms = wall})) {
+  const auto usable = [&] {
+    auto workers = fleet_.UsableWorkers(now);
+    std::erase_if(workers, [&](const UsableWorker& one) {
+      return maintenance_.IsCordoned(*one.worker) || pools_.IsCordoned(*one.worker);
+    });
+    return workers;
+  };
+  for (Assign& start : PlanStarts({.state = state_, .usable_workers = usable, .wall_ms = wall})) {
     out.Log("task_assigned", {{"task", FormatTask(start.task)},
                               {"run", std::to_string(start.run)},
                               {"worker", start.worker}});
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -24,6 +24,7 @@
 void Maintenance::BeginTerm(Micros now) {
   work_.clear();
   retry_at_.clear();
+  FindWorkers();
   // VMs whose maintenance an earlier leader began may still be away.
   for (const auto& [id, wave] : state_.waves()) {
     for (const VmId& vm : wave.begun) {
@@ -35,13 +36,17 @@
   }
 }
 
-const Worker* Maintenance::WorkerOn(const VmId& vm) const {
-  const Worker* newest = nullptr;
+void Maintenance::FindWorkers() {
+  workers_.clear();
   for (const auto& [id, worker] : state_.workers()) {
-    if (worker.record.vm != vm) continue;
+    const Worker*& newest = workers_[worker.record.vm];
     if (newest == nullptr || worker.record.born_ms > newest->record.born_ms) newest = &worker;
   }
-  return newest;
+}
+
+const Worker* Maintenance::WorkerOn(const VmId& vm) const {
+  const auto found = workers_.find(vm);
+  return found == workers_.end() ? nullptr : found->second;
 }
 
 bool Maintenance::IsCordoned(const Worker& worker) const {
@@ -55,7 +60,11 @@
   for (const auto& [id, worker] : state_.workers()) {
     if (worker.record.phase == WorkerPhase::kDraining) MoveLastingTasks(id, now, out);
   }
-  if (!desk_.Open(now)) return;
+  const bool idle = work_.empty() && std::ranges::all_of(state_.waves(), [](const auto& entry) {
+                      return entry.second.completed();
+                    });
+  if (idle || !desk_.Open(now)) return;
+  FindWorkers();
   for (const auto& [id, wave] : state_.waves()) {
     if (!wave.completed()) TickWave(id, wave, now);
   }
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "control/events.h"
 #include "control/vm_desk.h"
@@ -59,6 +60,8 @@
   bool IsBack(const VmId& vm, const VmWork& work, Micros now) const;
   void MoveLastingTasks(const WorkerId& worker, Micros now, Outbox& out);
   bool MayTakeAway(const TaskId& task) const;
+  /// Reads anew which worker runs on each VM; what it found is valid until the state changes.
+  void FindWorkers();
   const Worker* WorkerOn(const VmId& vm) const;
 
   MaintenanceOptions options_;
@@ -68,7 +71,8 @@
   Propose propose_;
   Micros next_tick_ = 0;
   std::map<VmId, VmWork> work_;
-  std::map<VmId, Micros> retry_at_;  // VMs that the platform could not take down
+  std::map<std::string_view, const Worker*> workers_;  // the newest on each VM
+  std::map<VmId, Micros> retry_at_;                    // VMs that the platform could not take down
 };
 
 }  // namespace godwitpaddle::jobs
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using detail::kRetryPause;
-using detail::kStopTimeoutMs;
 
 /// Lease that a first start gives to an idle worker, until a hold renews it.
 constexpr std::int64_t kStartLeaseMs = 2'000;
@@ -18,6 +17,7 @@
 constexpr double kSlowestClock = 0.98;
 constexpr Micros kLapseMargin = 100 * kMillisecond;
 constexpr std::int64_t kStartTimeoutMs = 400;
+constexpr std::int64_t kStopTimeoutMs = 500;
 constexpr std::int64_t kListTimeoutMs = 700;
 constexpr std::int64_t kHoldWaitMs = 1'000;
 /// A worker whose process has said goodbye is gone after this.
@@ -155,21 +155,27 @@
   view->hold_at = now + kLeaveProbe;
 }
 
-std::map<WorkerId, WorkerSight> WorkerFleet::Sights(Micros now) const {
-  std::map<WorkerId, WorkerSight> sights;
-  for (const auto& [id, view] : views_) {
-    sights[id] = {.usable = IsUsable(id, now), .proven = view.proven};
+std::vector<UsableWorker> WorkerFleet::UsableWorkers(Micros now) const {
+  std::vector<UsableWorker> usable;
+  auto view = views_.begin();
+  for (const auto& [id, known] : state_.workers()) {  // both in the order of ids
+    while (view != views_.end() && view->first < id) ++view;
+    if (view == views_.end()) break;
+    if (view->first != id || !IsUsable(view->second, known, now)) continue;
+    usable.push_back({.worker = &known, .proven = view->second.proven});
   }
-  return sights;
+  return usable;
 }
 
 bool WorkerFleet::IsUsable(const WorkerId& worker, Micros now) const {
   const auto found = views_.find(worker);
   const Worker* known = state_.FindWorker(worker);
-  if (found == views_.end() || known == nullptr) return false;
-  const View& view = found->second;
+  return found != views_.end() && known != nullptr && IsUsable(found->second, *known, now);
+}
+
+bool WorkerFleet::IsUsable(const View& view, const Worker& known, Micros now) const {
   const Micros silence = kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
-  return known->record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
+  return known.record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
          view.listed && view.confirmed && view.has_clock && now >= view.rest_until &&
          now - view.last_heard < silence;
 }
@@ -243,17 +249,15 @@
 
 // ---- orders ----
 
-void WorkerFleet::SendOrder(const WorkerId& worker, View& view, Order order,
-                            std::int64_t timeout_ms, Micros now, Outbox& out) {
+void WorkerFleet::SendOrder(Sent sent, Order order, std::int64_t timeout_ms, Outbox& out) {
   const std::uint64_t token = next_token_++;
-  const Worker* known = state_.FindWorker(worker);
-  sent_[token] = {.worker = worker, .born_ms = view.born_ms, .order = order, .sent_at = now};
   out.Add(OrderEffect{.token = token,
-                      .address = known->record.address,
-                      .worker = worker,
+                      .address = state_.FindWorker(sent.worker)->record.address,
+                      .worker = sent.worker,
                       .fencing_token = fencing_token_,
                       .order = std::move(order),
                       .timeout_ms = timeout_ms});
+  sent_[token] = std::move(sent);
 }
 
 void WorkerFleet::SendStart(const WorkerId& worker, View& view, const TaskId& task, Run& run,
@@ -264,13 +268,18 @@
   ++run.sends;
   ++starts_under_way_;
   run.start_out = true;
-  SendOrder(worker, view,
+  SendOrder({.worker = worker,
+             .born_ms = view.born_ms,
+             .kind = OrderKind::kStart,
+             .task = task,
+             .run = run.run,
+             .sent_at = now},
             StartOrder{.task = task,
                        .run = run.run,
                        .text = job->spec.text,
                        .checkpoint = known->checkpoint,
                        .until_ms = until},
-            kStartTimeoutMs, now, out);
+            kStartTimeoutMs, out);
   out.Count("starts_sent_total");
   if (run.sends > 1) out.Count("starts_resent_total");
 }
@@ -279,10 +288,21 @@
                            Micros now, Outbox& out) {
   run.stop_out = true;
   run.stop_again_at = now + kRetryPause;
-  SendOrder(worker, view, StopOrder{.task = task, .run = run.run}, kStopTimeoutMs, now, out);
+  SendStopOrder(worker, view, task, run.run, now, out);
   out.Count("stops_sent_total");
 }
 
+void WorkerFleet::SendStopOrder(const WorkerId& worker, const View& view, const TaskId& task,
+                                std::uint32_t run, Micros now, Outbox& out) {
+  SendOrder({.worker = worker,
+             .born_ms = view.born_ms,
+             .kind = OrderKind::kStop,
+             .task = task,
+             .run = run,
+             .sent_at = now},
+            StopOrder{.task = task, .run = run}, kStopTimeoutMs, out);
+}
+
 void WorkerFleet::SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out) {
   const Worker* known = state_.FindWorker(worker);
   // A worker that was silent may be another incarnation, whose ends are counted anew and must not
@@ -299,7 +319,12 @@
   view.hold_out = true;
   view.hold_sent_at = now;
   const std::int64_t timeout = hold.wait_ms + kListTimeoutMs;
-  SendOrder(worker, view, hold, timeout, now, out);
+  SendOrder({.worker = worker,
+             .born_ms = view.born_ms,
+             .kind = OrderKind::kHold,
+             .noted_ends = hold.noted_ends,
+             .sent_at = now},
+            hold, timeout, out);
   out.Count("holds_sent_total");
 }
 
@@ -318,14 +343,16 @@
 
 void WorkerFleet::Tick(Micros now, WallMs wall, Outbox& out) {
   if (fencing_token_ == 0) return;
-  for (auto& [worker, view] : views_) {
-    if (state_.FindWorker(worker) != nullptr) TickWorker(worker, view, now, wall, out);
+  auto view = views_.begin();
+  for (const auto& [id, known] : state_.workers()) {  // both in the order of ids
+    while (view != views_.end() && view->first < id) ++view;
+    if (view == views_.end()) return;
+    if (view->first == id) TickWorker(id, view->second, known, now, wall, out);
   }
 }
 
-void WorkerFleet::TickWorker(const WorkerId& worker, View& view, Micros now, WallMs wall,
-                             Outbox& out) {
-  const Worker& known = *state_.FindWorker(worker);
+void WorkerFleet::TickWorker(const WorkerId& worker, View& view, const Worker& known, Micros now,
+                             WallMs wall, Outbox& out) {
   if (!view.runs.empty() && now > view.lapse_at) {
     out.Log("lease_lapsed",
             {{"worker", worker},
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "control/events.h"
 #include "jobs/planner.h"
@@ -51,7 +52,8 @@
   /// The worker's VM was taken down: nothing runs there any more.
   void Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out);
 
-  std::map<WorkerId, WorkerSight> Sights(Micros now) const;
+  /// Workers that may get tasks.
+  std::vector<UsableWorker> UsableWorkers(Micros now) const;
   /// Whether a lasting task works at full speed, as far as the worker has said.
   bool AtWork(const TaskId& task) const;
   /// How long the run has been going, as far as its start was seen.
@@ -128,25 +130,32 @@
     std::map<std::pair<TaskId, std::uint32_t>, Micros> strays;  // stops of runs that are not ours
   };
 
+  enum class OrderKind : std::uint8_t { kStart, kStop, kHold };
+
   struct Sent {
     WorkerId worker;
     std::int64_t born_ms = 0;
-    Order order;
+    OrderKind kind = OrderKind::kHold;
+    TaskId task;                   // of a start or a stop
+    std::uint32_t run = 0;         // of a start or a stop
+    std::uint64_t noted_ends = 0;  // of a hold
     Micros sent_at = 0;
   };
 
   View* Find(const WorkerId& worker);
+  bool IsUsable(const View& view, const Worker& known, Micros now) const;
   void RetireOthers(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
   std::int64_t ClockNow(const View& view, Micros now) const;
   std::int64_t ExtendLease(View& view, std::int64_t lease_ms, Micros now) const;
-  void SendOrder(const WorkerId& worker, View& view, Order order, std::int64_t timeout_ms,
-                 Micros now, Outbox& out);
+  void SendOrder(Sent sent, Order order, std::int64_t timeout_ms, Outbox& out);
   void SendStart(const WorkerId& worker, View& view, const TaskId& task, Run& run, Micros now,
                  Outbox& out);
   void SendStop(const WorkerId& worker, View& view, const TaskId& task, Run& run, Micros now,
                 Outbox& out);
+  void SendStopOrder(const WorkerId& worker, const View& view, const TaskId& task,
+                     std::uint32_t run, Micros now, Outbox& out);
   void SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out);
   void OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall,
                     Outbox& out);
@@ -162,7 +171,8 @@
                 Conclusion conclusion, WallMs wall, Outbox& out);
   void ConcludeAll(const WorkerId& worker, View& view, Conclusion conclusion, WallMs wall,
                    Outbox& out);
-  void TickWorker(const WorkerId& worker, View& view, Micros now, WallMs wall, Outbox& out);
+  void TickWorker(const WorkerId& worker, View& view, const Worker& known, Micros now, WallMs wall,
+                  Outbox& out);
   void TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out);
   void CountEnd(View& view, EndKind how, Micros now);
 
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -11,7 +11,6 @@
 
 using detail::kHoldPause;
 using detail::kRetryPause;
-using detail::kStopTimeoutMs;
 
 constexpr Micros kUnhealthyRest = kSecond;
 /// A worker lists at most so many ends at once.
@@ -24,7 +23,7 @@
   if (found == sent_.end()) return;
   const Sent sent = std::move(found->second);
   sent_.erase(found);
-  if (std::holds_alternative<StartOrder>(sent.order)) --starts_under_way_;
+  if (sent.kind == OrderKind::kStart) --starts_under_way_;
   View* view = Find(sent.worker);
   if (view == nullptr) return;
   const OrderReply& reply = event.reply;
@@ -55,20 +54,20 @@
     view->leaving = true;
     view->left_at = now;
   }
-  if (std::holds_alternative<StartOrder>(sent.order)) {
-    OnStartReply(sent, *view, reply, now, wall, out);
-  } else if (std::holds_alternative<StopOrder>(sent.order)) {
-    OnStopReply(sent, *view, reply, now);
-  } else if (std::holds_alternative<HoldOrder>(sent.order)) {
-    OnHoldReply(sent, *view, reply, now, wall, out);
+  switch (sent.kind) {
+    case OrderKind::kStart:
+      return OnStartReply(sent, *view, reply, now, wall, out);
+    case OrderKind::kStop:
+      return OnStopReply(sent, *view, reply, now);
+    case OrderKind::kHold:
+      return OnHoldReply(sent, *view, reply, now, wall, out);
   }
 }
 
 void WorkerFleet::OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
                                WallMs wall, Outbox& out) {
-  const auto& order = std::get<StartOrder>(sent.order);
-  const auto found = view.runs.find(order.task);
-  if (found == view.runs.end() || found->second.run != order.run) return;
+  const auto found = view.runs.find(sent.task);
+  if (found == view.runs.end() || found->second.run != sent.run) return;
   Run& run = found->second;
   run.start_out = false;
   const auto refuse = [&](Micros rest) {
@@ -77,7 +76,7 @@
     if (run.sends > 1) {
       run.stop_wanted = true;
     } else {
-      Conclude(sent.worker, view, order.task, run, Conclusion::kRefused, wall, out);
+      Conclude(sent.worker, view, sent.task, run, Conclusion::kRefused, wall, out);
     }
   };
   switch (reply.outcome) {
@@ -112,9 +111,8 @@
 }
 
 void WorkerFleet::OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now) {
-  const auto& order = std::get<StopOrder>(sent.order);
-  const auto found = view.runs.find(order.task);
-  if (found == view.runs.end() || found->second.run != order.run) return;
+  const auto found = view.runs.find(sent.task);
+  if (found == view.runs.end() || found->second.run != sent.run) return;
   Run& run = found->second;
   run.stop_out = false;
   const bool known_there =
@@ -128,7 +126,6 @@
 
 void WorkerFleet::OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
                               WallMs wall, Outbox& out) {
-  const auto& hold = std::get<HoldOrder>(sent.order);
   view.hold_out = false;
   if (reply.outcome != OrderOutcome::kDone) {
     view.hold_at = now + kRetryPause;
@@ -146,8 +143,8 @@
   if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
   view.listed = true;
   view.confirmed = true;
-  view.told_ends = std::max(view.told_ends, hold.noted_ends);
-  view.proposed_ends = std::max(view.proposed_ends, hold.noted_ends);
+  view.told_ends = std::max(view.told_ends, sent.noted_ends);
+  view.proposed_ends = std::max(view.proposed_ends, sent.noted_ends);
   NoteEnds(sent.worker, view, reply, wall);
   NoteRunning(sent.worker, view, reply, now, out);
   ConcludeUnlisted(sent, view, reply, wall, out);
@@ -192,8 +189,7 @@
     out.Log("stray_run_stopped", {{"worker", worker},
                                   {"task", FormatTask(listed.task)},
                                   {"run", std::to_string(listed.run)}});
-    SendOrder(worker, view, StopOrder{.task = listed.task, .run = listed.run}, kStopTimeoutMs, now,
-              out);
+    SendStopOrder(worker, view, listed.task, listed.run, now, out);
   }
 }
 
--- a/control/worker_timing.h
+++ b/control/worker_timing.h
@@ -8,7 +8,6 @@
 /// Times of the orders to workers.
 namespace godwitpaddle::jobs::detail {
 
-inline constexpr std::int64_t kStopTimeoutMs = 500;
 /// Pause between holds of a busy worker, so that one answer brings several ends.
 inline constexpr Micros kHoldPause = 30 * kMillisecond;
 inline constexpr Micros kRetryPause = 300 * kMillisecond;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -1,8 +1,10 @@
 #include "jobs/planner.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -19,8 +21,22 @@
   bool proven = false;
 };
 
+/// Room of the workers of one service within a plan.
+struct ServiceRoom {
+  std::vector<Room> rooms;
+  std::optional<Resources> blocked;  // the least that found no room
+};
+
+/// What a team has running within a plan.
+struct TeamUse {
+  const Team* team = nullptr;
+  Resources used;
+};
+
 struct Candidate {
   const Job* job = nullptr;
+  const Queue* queue = nullptr;  // null when it was removed
+  TeamUse* team = nullptr;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::tuple<bool, int, std::int64_t> rank;  // hopeless, priority, due time
@@ -42,16 +58,17 @@
   Room* Choose(const Candidate& candidate, const std::map<WorkerId, std::uint32_t>& here,
                bool last_attempt);
   bool HasLastingTask(const Room& room) const;
-  bool WithinLimit(const Job& job, const Resources& size) const;
-  bool IsBlocked(const std::string& service, const Resources& footprint) const;
+  static bool WithinLimit(const TeamUse& use, const Resources& size);
+  const Queue* QueueOf(const Job& job);
+  TeamUse* TeamOf(const Job& job);
   void Take(const Candidate& candidate, std::uint32_t index, std::uint32_t run, Room& room);
   std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
 
   const PlanInput& input_;
-  std::map<std::string, std::vector<Room>> rooms_;  // by service
-  std::map<std::string, Resources> blocked_;        // by service: the least that found no room
+  std::map<std::string_view, ServiceRoom> services_;
+  std::map<std::string_view, const Queue*> queues_;  // looked up so far
+  std::map<std::string_view, TeamUse> teams_;        // looked up so far
   std::vector<Candidate> candidates_;
-  std::map<std::string, Resources> usage_;  // by team
   std::vector<Assign> starts_;
 };
 
@@ -62,7 +79,6 @@
   }
   if (candidates_.empty()) return {};
   AddRooms();
-  usage_ = input_.state.team_usage();
   std::ranges::stable_sort(candidates_, {}, &Candidate::rank);
   for (const Candidate& candidate : candidates_) {
     if (starts_.size() >= input_.max_starts) break;
@@ -72,17 +88,31 @@
 }
 
 void Plan::AddRooms() {
-  for (const auto& [id, worker] : input_.state.workers()) {
-    const auto sight = input_.sights.find(id);
-    if (sight == input_.sights.end() || !sight->second.usable) continue;
-    rooms_[worker.record.service].push_back({.worker = &worker,
-                                             .left = worker.record.capacity - worker.used,
-                                             .proven = sight->second.proven});
+  for (const UsableWorker& usable : input_.usable_workers()) {
+    const Worker& worker = *usable.worker;
+    services_[worker.record.service].rooms.push_back(
+        {.worker = &worker, .left = worker.record.capacity - worker.used, .proven = usable.proven});
   }
 }
 
+const Queue* Plan::QueueOf(const Job& job) {
+  const auto [entry, is_new] = queues_.try_emplace(job.queue, nullptr);
+  if (is_new) entry->second = FindQueueByName(input_.state.configuration(), job.queue);
+  return entry->second;
+}
+
+TeamUse* Plan::TeamOf(const Job& job) {
+  const auto [entry, is_new] = teams_.try_emplace(job.team);
+  if (is_new) {
+    entry->second.team = FindTeam(input_.state.configuration(), job.team);
+    const auto used = input_.state.team_usage().find(job.team);
+    if (used != input_.state.team_usage().end()) entry->second.used = used->second;
+  }
+  return &entry->second;
+}
+
 void Plan::AddCandidates(const Job& job) {
-  const Queue* queue = FindQueueByName(input_.state.configuration(), job.queue);
+  const Queue* queue = QueueOf(job);
   const std::int64_t objective = ObjectiveMs(job, queue);
   for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
     const std::int64_t due = DueMs(job, occurrence);
@@ -92,6 +122,8 @@
       const bool lasting = job.spec.steps[step].lasting;
       const bool hopeless = !lasting && input_.wall_ms > due + kWorthlessFactor * objective;
       candidates_.push_back({.job = &job,
+                             .queue = queue,
+                             .team = TeamOf(job),
                              .occurrence = occurrence,
                              .step = step,
                              .rank = {hopeless, queue == nullptr ? 0 : queue->priority,
@@ -132,7 +164,7 @@
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
     const Task& task = run.tasks[index];
     if (task.phase != TaskPhase::kWaiting) continue;
-    if (starts_.size() >= input_.max_starts || !WithinLimit(job, step.size)) return;
+    if (starts_.size() >= input_.max_starts || !WithinLimit(*candidate.team, step.size)) return;
     const bool last_attempt = !step.lasting && task.failed_runs + 1 >= job.attempts;
     Room* room = Choose(candidate, here, last_attempt);
     if (room == nullptr) return;
@@ -145,17 +177,18 @@
   if (run.assigned > 0) return;  // the last run of the gang has not ended everywhere
   const Step& step = candidate.job->spec.steps[candidate.step];
   const std::size_t first = starts_.size();
-  const auto rooms = rooms_;
-  const auto usage = usage_;
+  const auto services = services_;
+  const Resources used = candidate.team->used;
   std::map<WorkerId, std::uint32_t> here;
   std::uint32_t number = 0;
   for (const Task& task : run.tasks) number = std::max(number, task.run);
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-    Room* room = WithinLimit(*candidate.job, step.size) ? Choose(candidate, here, false) : nullptr;
+    const bool within = WithinLimit(*candidate.team, step.size);
+    Room* room = within ? Choose(candidate, here, false) : nullptr;
     if (room == nullptr) {
       starts_.resize(first);
-      rooms_ = rooms;
-      usage_ = usage;
+      services_ = services;
+      candidate.team->used = used;
       return;
     }
     ++here[room->worker->record.id];
@@ -163,30 +196,31 @@
   }
 }
 
-bool Plan::WithinLimit(const Job& job, const Resources& size) const {
-  const Team* team = FindTeam(input_.state.configuration(), job.team);
-  if (team == nullptr) return true;
-  const auto used = usage_.find(job.team);
-  const Resources total = (used == usage_.end() ? Resources{} : used->second) + size;
+bool Plan::WithinLimit(const TeamUse& use, const Resources& size) {
+  if (use.team == nullptr) return true;
+  const Resources total = use.used + size;
+  const Resources& most = use.team->limit;
   const auto within = [](std::int64_t value, std::int64_t limit) {
     return limit == 0 || value <= limit;
   };
-  return within(total.cpu, team->limit.cpu) && within(total.memory_mb, team->limit.memory_mb) &&
-         within(total.accelerators, team->limit.accelerators);
+  return within(total.cpu, most.cpu) && within(total.memory_mb, most.memory_mb) &&
+         within(total.accelerators, most.accelerators);
 }
 
 Room* Plan::Choose(const Candidate& candidate, const std::map<WorkerId, std::uint32_t>& here,
                    bool last_attempt) {
   const Job& job = *candidate.job;
   const Step& step = job.spec.steps[candidate.step];
-  const Queue* queue = FindQueueByName(input_.state.configuration(), job.queue);
-  const auto rooms = rooms_.find(queue == nullptr ? job.service : queue->service);
-  if (rooms == rooms_.end()) return nullptr;
+  const auto found =
+      services_.find(candidate.queue == nullptr ? job.service : candidate.queue->service);
+  if (found == services_.end()) return nullptr;
+  ServiceRoom& service = found->second;
   const Resources footprint = step.footprint();
-  if (IsBlocked(rooms->first, footprint)) return nullptr;
+  // A task that asked for no more has found no room in this plan.
+  if (service.blocked && service.blocked->FitsInto(footprint)) return nullptr;
   Room* best = nullptr;
   std::tuple<bool, bool, bool, std::int64_t> best_worth;
-  for (Room& room : rooms->second) {
+  for (Room& room : service.rooms) {
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.left)) continue;
     const auto& labels = record.labels;
@@ -207,16 +241,10 @@
     best_worth = worth;
   }
   const bool plain = step.required_label.empty() && step.max_per_worker == 0;
-  if (best == nullptr && plain) blocked_[rooms->first] = footprint;
+  if (best == nullptr && plain) service.blocked = footprint;
   return best;
 }
 
-/// Whether a task that asked for no more found no room in this plan.
-bool Plan::IsBlocked(const std::string& service, const Resources& footprint) const {
-  const auto blocked = blocked_.find(service);
-  return blocked != blocked_.end() && blocked->second.FitsInto(footprint);
-}
-
 bool Plan::HasLastingTask(const Room& room) const {
   return std::ranges::any_of(room.worker->tasks, [this](const TaskId& task) {
     return input_.state.FindJob(task.job)->spec.steps[task.step].lasting;
@@ -227,7 +255,7 @@
   const Job& job = *candidate.job;
   const Step& step = job.spec.steps[candidate.step];
   room.left -= step.footprint();
-  usage_[job.team] += step.size;
+  candidate.team->used += step.size;
   starts_.push_back({.task = {job.id, candidate.occurrence, candidate.step, index},
                      .run = run,
                      .worker = room.worker->record.id});
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <vector>
 
 #include "jobs/state.h"
@@ -12,15 +12,16 @@
 /// leader has seen of the workers.
 namespace godwitpaddle::jobs {
 
-/// What the leader knows of a worker beyond the replicated state.
-struct WorkerSight {
-  bool usable = false;  // reports in, answers, is not leaving
+/// A worker that may get tasks: it reports in, answers and is not leaving.
+struct UsableWorker {
+  const Worker* worker = nullptr;
   bool proven = false;  // its last run that ended by itself was done
 };
 
 struct PlanInput {
   const State& state;
-  const std::map<WorkerId, WorkerSight>& sights;
+  /// Asked for only when some task waits.
+  std::function<std::vector<UsableWorker>()> usable_workers;
   std::int64_t wall_ms = 0;     // Unix time
   std::size_t max_starts = 64;  // of one plan
 };
