Let no VM order leave late, and give waiting lasting tasks VMs to run on

The lease is looked at when an order is decided, not when it is written; a wake serves sockets before timers. An order now carries the time by which it must begin to leave, looked at right before the first byte. Pools are sized by cores alone, while lasting tasks must keep off each other's VMs and need memory. Ruled out: a lost end (the task was waiting, as the next start shows). Lasting tasks that wait for over 300 ms now raise the pool's target.

--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -16,6 +16,8 @@
 /// A VM that does not come up in its new pool after this many times the announced time is given up.
 constexpr int kArrivalFactor = 6;
 constexpr double kMillicores = 1'000;
+/// A lasting task that waits longer has found no room.
+constexpr Micros kLastingPatience = 300 * kMillisecond;
 
 }  // namespace
 
@@ -24,6 +26,7 @@
   moving_.clear();
   parked_.clear();
   surplus_since_.clear();
+  lasting_waits_.clear();
   listed_ = false;
 }
 
@@ -49,6 +52,7 @@
     }
   }
   Settle(now);
+  FollowLasting(now);
   std::map<VmId, std::string> still;
   std::vector<PoolMove> moves = PlanMoves(DescribePools(now), options_.plan, now);
   for (const PoolMove& move : moves) still[move.vm] = move.to;
@@ -119,6 +123,7 @@
     pools[service.name] = {.service = service.name, .standby = service.standby};
   }
   AddWorkers(pools, now);
+  AddLastingNeeds(pools, now);
   AddStandby(pools);
   for (const auto& [vm, moving] : moving_) {
     const auto pool = pools.find(moving.to);
@@ -141,6 +146,54 @@
   return described;
 }
 
+void PoolScaler::FollowLasting(Micros now) {
+  std::map<TaskId, Micros> waits;
+  for (const JobId id : state_.open_jobs()) {
+    const Job& job = *state_.FindJob(id);
+    if (!job.active()) continue;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      const StepRun& run = job.At(0, step);
+      if (!job.spec.steps[step].lasting || run.assigned == run.tasks.size()) continue;
+      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        if (run.tasks[index].phase != TaskPhase::kWaiting) continue;
+        const TaskId task{id, 0, step, index};
+        const auto known = lasting_waits_.find(task);
+        waits[task] = known == lasting_waits_.end() ? now : known->second;
+      }
+    }
+  }
+  lasting_waits_ = std::move(waits);
+}
+
+std::map<std::string, std::vector<LastingWait>> PoolScaler::LastingWaits(Micros now) const {
+  std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> counts;  // by job and step
+  for (const auto& [task, since] : lasting_waits_) {
+    if (now - since > kLastingPatience) ++counts[{task.job, task.step}];
+  }
+  std::map<std::string, std::vector<LastingWait>> waits;
+  for (const auto& [key, count] : counts) {
+    const Job& job = *state_.FindJob(key.first);
+    const Step& step = job.spec.steps[key.second];
+    const Queue* queue = FindQueueByName(state_.configuration(), job.queue);
+    waits[queue == nullptr ? job.service : queue->service].push_back(
+        {.count = count, .size = step.footprint(), .max_per_worker = step.max_per_worker});
+  }
+  return waits;
+}
+
+void PoolScaler::AddLastingNeeds(std::map<std::string, Pool>& pools, Micros now) const {
+  for (const auto& [service, waits] : LastingWaits(now)) {
+    const auto pool = pools.find(service);
+    if (pool == pools.end()) continue;
+    const auto typical = std::ranges::find_if(state_.workers(), [&](const auto& entry) {
+      return entry.second.record.service == service;
+    });
+    const Resources vm =
+        typical == state_.workers().end() ? Resources() : typical->second.record.capacity;
+    pool->second.lasting_vms = pool->second.vms + VmsForLasting(waits, vm);
+  }
+}
+
 void PoolScaler::AddWorkers(std::map<std::string, Pool>& pools, Micros now) const {
   for (const auto& [id, worker] : state_.workers()) {
     const auto found = pools.find(worker.record.service);
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -51,6 +51,11 @@
   void AddStandby(std::map<std::string, Pool>& pools) const;
   double NeededCores(const std::string& service, double open_core_ms, Micros now);
   std::map<std::string, double> OpenWork() const;
+  /// Follows which lasting tasks wait.
+  void FollowLasting(Micros now);
+  /// By service, those that have waited too long to be on their way to a worker.
+  std::map<std::string, std::vector<LastingWait>> LastingWaits(Micros now) const;
+  void AddLastingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void Settle(Micros now);
   void Start(const PoolMove& move, Micros now, Outbox& out);
   void OnOutcome(const VmId& vm, const WorkerId& from_worker, VmOutcome outcome, Micros now,
@@ -69,6 +74,7 @@
   std::map<VmId, std::string> parked_;  // VMs known to be in a pool that is off
   bool listed_ = false;
   std::map<std::string, Micros> surplus_since_;
+  std::map<TaskId, Micros> lasting_waits_;  // lasting tasks without a worker, and since when
 };
 
 }  // namespace godwitpaddle::jobs
--- a/control/vm_desk.cc
+++ b/control/vm_desk.cc
@@ -7,6 +7,8 @@
 
 constexpr Micros kOrderRetry = 500 * kMillisecond;
 constexpr Micros kListRetry = kSecond;
+/// An order leaves within this of the look at the lease; the next leader waits for longer.
+constexpr Micros kSendWithin = 500 * kMillisecond;
 
 std::string OrderName(const VmOrder& order) {
   if (std::holds_alternative<MoveVm>(order)) return "move to " + std::get<MoveVm>(order).pool;
@@ -49,10 +51,11 @@
   orders_[vm] = {.order = std::move(order), .done = std::move(done)};
 }
 
-std::uint64_t VmDesk::Send(const VmId& vm, VmOrder order, Outbox& out) {
+std::uint64_t VmDesk::Send(const VmId& vm, VmOrder order, Micros now, Outbox& out) {
   const std::uint64_t token = next_token_++;
   sent_[token] = vm;
   out.Add(VmEffect{.token = token,
+                   .send_before = now + kSendWithin,
                    .holder = options_.holder,
                    .fencing_token = fencing_token_,
                    .order = std::move(order)});
@@ -63,12 +66,12 @@
   if (fencing_token_ == 0) return;
   if (list_due_ && !list_out_ && now >= next_list_) {
     list_out_ = true;
-    Send({}, ListVms{.page = next_page_}, out);
+    Send({}, ListVms{.page = next_page_}, now, out);
   }
   if (!Open(now)) return;
   for (auto& [vm, pending] : orders_) {
     if (pending.token != 0 || now < pending.next_send) continue;
-    pending.token = Send(vm, pending.order, out);
+    pending.token = Send(vm, pending.order, now, out);
   }
 }
 
--- a/control/vm_desk.h
+++ b/control/vm_desk.h
@@ -48,7 +48,7 @@
     Micros next_send = 0;
   };
 
-  std::uint64_t Send(const VmId& vm, VmOrder order, Outbox& out);
+  std::uint64_t Send(const VmId& vm, VmOrder order, Micros now, Outbox& out);
   void OnList(const VmReply& reply, Micros now, Outbox& out);
 
   VmDeskOptions options_;
--- a/jobs/orders.h
+++ b/jobs/orders.h
@@ -144,6 +144,7 @@
 
 struct VmEffect {
   std::uint64_t token = 0;
+  Micros send_before = 0;  // later the next leader may give orders
   std::string holder;
   std::uint64_t fencing_token = 0;
   VmOrder order;
--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -42,7 +42,8 @@
     for (const Pool& pool : pools_) {
       const int need = NeededVms(pool, options_);
       const int share = scarce_ && needed > 0 ? need * there / needed : need;
-      targets_[pool.service] = pool.standby ? 0 : std::max(share, options_.least_vms);
+      const int least = std::max(options_.least_vms, pool.lasting_vms);
+      targets_[pool.service] = pool.standby ? 0 : std::max(share, least);
     }
   }
 
@@ -109,10 +110,29 @@
 
 }  // namespace
 
+int VmsForLasting(const std::vector<LastingWait>& waits, const Resources& vm) {
+  const auto ceil_div = [](std::int64_t value, std::int64_t by) {
+    return by <= 0 ? 0 : (value + by - 1) / by;
+  };
+  Resources total;
+  std::int64_t most = 0;
+  for (const LastingWait& wait : waits) {
+    total.cpu += wait.count * wait.size.cpu;
+    total.memory_mb += wait.count * wait.size.memory_mb;
+    total.accelerators += wait.count * wait.size.accelerators;
+    const std::int64_t least = wait.count > 0 ? 1 : 0;
+    most = std::max({most, least, ceil_div(wait.count, wait.max_per_worker)});
+  }
+  most = std::max({most, ceil_div(total.cpu, vm.cpu), ceil_div(total.memory_mb, vm.memory_mb),
+                   ceil_div(total.accelerators, vm.accelerators)});
+  return static_cast<int>(most);
+}
+
 int NeededVms(const Pool& pool, const PoolPlanOptions& options) {
   if (pool.standby) return 0;
   const double cores = std::max(1.0, pool.vm_cores);
-  return std::max(options.least_vms, static_cast<int>(std::ceil(pool.needed_cores / cores)));
+  const int for_cores = static_cast<int>(std::ceil(pool.needed_cores / cores));
+  return std::max({options.least_vms, pool.lasting_vms, for_cores});
 }
 
 std::vector<PoolMove> PlanMoves(std::vector<Pool> pools, const PoolPlanOptions& options,
--- a/jobs/pool_plan.h
+++ b/jobs/pool_plan.h
@@ -25,6 +25,7 @@
   double needed_cores = 0;  // shortly
   double vm_cores = 0;      // of one VM
   int vms = 0;              // that work for the pool or are on their way to it
+  int lasting_vms = 0;  // least number of VMs that lets waiting lasting tasks start; 0: none wait
   std::vector<PoolVm> movable;
   Micros surplus_since = 0;  // since when it has had more than it needs; 0: it has not
 };
@@ -41,6 +42,17 @@
   Micros surplus_time = 2'500 * kMillisecond;  // before VMs are switched off
 };
 
+/// Alike lasting tasks that have found no room for a while.
+struct LastingWait {
+  std::uint32_t count = 0;
+  Resources size;
+  std::uint32_t max_per_worker = 0;  // 0: no limit
+};
+
+/// VMs with room for all of these. Answers the load pattern in which tasks that last and must be
+/// spread over VMs wait in a pool that has few VMs because its cores suffice.
+int VmsForLasting(const std::vector<LastingWait>& waits, const Resources& vm);
+
 /// VMs that a pool needs.
 int NeededVms(const Pool& pool, const PoolPlanOptions& options);
 
--- a/runtime/http_client.cc
+++ b/runtime/http_client.cc
@@ -71,6 +71,7 @@
   bool AssignIdle(std::uint64_t id, Server& server);
   void Open(std::uint64_t id, Server& server);
   void Use(std::uint64_t id, Connection& connection);
+  void Write(int fd, Connection& connection);
   void Watch(int fd, Connection& connection, int operation) const;
   void Follow(int fd, HttpConnection::Progress progress);
   void Finish(int fd, Connection& connection);
@@ -151,7 +152,16 @@
   one.fd = fd;
   connection.transfer = id;
   connection.http.Begin(std::move(one.request), one.transfer.max_answer_bytes);
-  if (connection.http.connected()) Follow(fd, connection.http.Write());
+  if (connection.http.connected()) Write(fd, connection);
+}
+
+/// A process that was frozen wakes with requests that were decided long ago.
+void HttpClient::Impl::Write(int fd, Connection& connection) {
+  const bool begins = connection.transfer != 0 && !connection.http.has_sent();
+  if (begins && MonotonicNow() > pending.at(connection.transfer).transfer.send_before) {
+    return Fail(connection.transfer, "too late to be sent");
+  }
+  Follow(fd, connection.http.Write());
 }
 
 void HttpClient::Impl::Watch(int fd, Connection& connection, int operation) const {
@@ -175,8 +185,9 @@
   const auto found = connections.find(fd);
   if (found == connections.end()) return;  // closed by an event before
   HttpConnection& http = found->second.http;
-  const bool write = (events & EPOLLOUT) != 0 || !http.connected();
-  Follow(fd, write && http.wants_to_write() ? http.Write() : http.Read());
+  const bool writable = (events & EPOLLOUT) != 0 || !http.connected();
+  if (writable && http.wants_to_write()) return Write(fd, found->second);
+  Follow(fd, http.Read());
 }
 
 /// Acts on how far the connection has come.
@@ -245,7 +256,9 @@
   HttpResult result{.end = TransferEnd::kNotSent, .error = error};
   const std::string address = one.target.server;
   if (one.fd >= 0) {
-    if (connections.at(one.fd).http.has_sent()) result.end = TransferEnd::kBroken;
+    HttpConnection& http = connections.at(one.fd).http;
+    if (http.has_sent()) result.end = TransferEnd::kBroken;
+    http.Discard();
     Close(one.fd);
   } else if (const auto server = servers.find(address); server != servers.end()) {
     std::erase(server->second.waiting, id);
--- a/runtime/http_client.h
+++ b/runtime/http_client.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "node/node.h"
+#include "runtime/clock.h"
 #include "runtime/task.h"
 
 namespace godwitpaddle {
@@ -28,6 +29,7 @@
   std::map<std::string, std::string> headers;
   std::string body;
   std::int64_t timeout_ms = 10'000;  // of the whole transfer
+  Micros send_before = kNever;       // a request that has not begun to leave by then never does
   std::size_t max_answer_bytes = 16U << 20U;
   std::function<void(HttpResult)> done;  // runs in the client's thread; optional
 };
--- a/runtime/http_connection.cc
+++ b/runtime/http_connection.cc
@@ -110,6 +110,11 @@
   return Progress::kBroken;
 }
 
+void HttpConnection::Discard() const {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 HttpConnection::Progress HttpConnection::Write() {
   if (!connected_) {
     int error = 0;
--- a/runtime/http_connection.h
+++ b/runtime/http_connection.h
@@ -48,6 +48,9 @@
   Progress Write();
   /// The socket is readable.
   Progress Read();
+  /// Bytes that are still on their way out are dropped when the connection closes, so that a
+  /// request that was given up is not carried out once a partition ends.
+  void Discard() const;
   /// Status, headers and body, after kDone.
   HttpResult TakeAnswer();
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -189,6 +189,23 @@
     manual.server.Respond({.connection = next.connection});
     CHECK(Wait(third).end == TransferEnd::kAnswered);
   }
+  SECTION("what was decided too long ago: not sent") {
+    // A leader that was frozen must not carry out what it had decided before the next one came.
+    const bool kept_connection = GENERATE(true, false);
+    if (kept_connection) {
+      auto first = Begin(client, {.method = "POST", .url = manual.Url("/1")});
+      manual.server.Respond({.connection = manual.requests.Next().connection});
+      CHECK(Wait(first).end == TransferEnd::kAnswered);
+    }
+    const Micros past = MonotonicNow() - kMillisecond;
+    auto late = Begin(client, {.method = "POST", .url = manual.Url("/2"), .send_before = past});
+    CHECK(Wait(late).end == TransferEnd::kNotSent);
+    auto next = Begin(client, {.method = "POST", .url = manual.Url("/3")});
+    const HttpEvent request = manual.requests.Next();
+    CHECK(request.path == "/3");
+    manual.server.Respond({.connection = request.connection});
+    CHECK(Wait(next).end == TransferEnd::kAnswered);
+  }
   SECTION("what cannot be written as one request is refused: not sent") {
     // A header with a line end would smuggle a second request onto the connection.
     const HttpTransfer smuggled{.url = manual.Url("/"), .headers = {{"X-Id", "1\r\nX-Evil: 2"}}};
--- a/tests/job_state_test.cc
+++ b/tests/job_state_test.cc
@@ -23,7 +23,11 @@
 }
 
 Submit MakeSubmit(JobId job, std::vector<Step> steps) {
-  return {.job = job, .queue = "quotes", .key = "k1", .wall_ms = kWall, .spec = {.steps = std::move(steps)}};
+  return {.job = job,
+          .queue = "quotes",
+          .key = "k1",
+          .wall_ms = kWall,
+          .spec = {.steps = std::move(steps)}};
 }
 
 NoteWorker MakeWorker(const WorkerId& id, std::int64_t born_ms, std::int64_t cpu) {
