Note each VM order in the log, so that a new leader deals with other VMs at once

Cause: after each change of leader the pools stood still for 3 s (the platform's bound between orders of two holders for one VM), since a new leader could not know which VMs the former one was dealing with. Ruled out: election (0.8 s after the nodes are back), listing of workers (0.2 s). An order is now noted in the log before it leaves; a new leader waits only with VMs noted within the bound, by its own clock for notes that it saw arrive, by wall time with a second of slack for those it found on its disk. Maintenance waits as before, because its bound is over all VMs of a wave.

--- a/control/core_node.cc
+++ b/control/core_node.cc
@@ -35,6 +35,11 @@
           .announce_commits = false};  // only the leader acts on what is committed
 }
 
+replication::Index LastIndex(const replication::StoredState& stored) {
+  if (!stored.log.empty()) return stored.log.back().index;
+  return stored.snapshot ? stored.snapshot->index : 0;
+}
+
 }  // namespace
 
 replication::ReplicaId FirstReplicaId(const std::string& address) { return "first-" + address; }
@@ -54,6 +59,7 @@
                    replication::StoredState stored, Micros now)
     : options_(std::move(options)),
       replica_id_(replica),
+      stored_index_(LastIndex(stored)),
       state_(options_.state),
       replica_(ReplicaOptionsOf(options_, replica), std::move(stored), now),
       leader_(options_.leader, state_),
@@ -232,7 +238,11 @@
     out_.Log("invariant_violated", {{"reason", error.what()}}, Severity::kError);
     out_.Count("invariant_violations_total");
   }
-  leader_.OnApplied(entry.index, command, outcome, now_, wall_, out_);
+  leader_.OnApplied({.index = entry.index,
+                     .command = command,
+                     .outcome = outcome,
+                     .replayed = entry.index <= stored_index_},
+                    now_, wall_, out_);
 }
 
 void CoreNode::FollowLeadership() {
--- a/control/core_node.h
+++ b/control/core_node.h
@@ -76,6 +76,7 @@
 
   CoreNodeOptions options_;
   replication::ReplicaId replica_id_;
+  const replication::Index stored_index_;  // last one on the disk when the process started
   State state_;
   replication::Replica replica_;
   Leader leader_;
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -51,7 +51,7 @@
     : options_(std::move(options)),
       state_(state),
       fleet_(options_.fleet, state, [this](Command command) { Propose(std::move(command)); }),
-      desk_(options_.desk),
+      desk_(options_.desk, state, [this](Command command) { Propose(std::move(command)); }),
       maintenance_(options_.maintenance, state, fleet_, desk_,
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, desk_, maintenance_, demand_) {}
@@ -110,19 +110,28 @@
   out.Send(asker.address, CallReply{.id = asker.id, .term = term_, .answer = std::move(answer)});
 }
 
-void Leader::OnApplied(std::uint64_t index, const Command& command, ApplyOutcome outcome,
-                       Micros now, WallMs wall, Outbox& out) {
+/// What every core node learns, so that it knows it when it leads.
+void Leader::Learn(const AppliedCommand& applied, Micros now) {
+  if (const auto* note = std::get_if<NoteVmOrder>(&applied.command)) {
+    desk_.OnNoted(*note, applied.replayed, now);
+  }
+  const auto* submit = std::get_if<Submit>(&applied.command);
+  if (submit == nullptr || applied.replayed) return;
+  const Job* job = state_.FindJob(submit->job);
+  if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
+}
+
+void Leader::OnApplied(const AppliedCommand& applied, Micros now, WallMs wall, Outbox& out) {
+  Learn(applied, now);
   if (term_ == 0) return;
-  const auto asker = askers_.find(index);
+  const Command& command = applied.command;
+  const ApplyOutcome outcome = applied.outcome;
+  const auto asker = askers_.find(applied.index);
   if (asker != askers_.end()) {
     Reply(asker->second, AnswerTo(command, outcome), out);
     askers_.erase(asker);
   }
   if (std::holds_alternative<Assign>(command) && unapplied_starts_ > 0) --unapplied_starts_;
-  if (const auto* submit = std::get_if<Submit>(&command)) {
-    const Job* job = state_.FindJob(submit->job);
-    if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
-  }
   if (const auto* end = std::get_if<NoteEnd>(&command)) LearnRunTime(*end, now);
   fleet_.OnApplied(command, outcome, now, wall, out);
   if (const auto* cancel = std::get_if<Cancel>(&command)) StopEndedJob(cancel->job, now, out);
@@ -345,7 +354,7 @@
     maintenance_.Tick(now, out);
     pools_.Tick(now, out);
   }
-  desk_.Tick(now, out);
+  desk_.Tick(now, wall, out);
   const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
   if (due && now >= next_plan_ && unapplied_starts_ == 0) Plan(now, wall, out);
 }
--- a/control/leader.h
+++ b/control/leader.h
@@ -25,6 +25,14 @@
   std::size_t max_tasks = 20'000;      // of one job, over all steps and occurrences
 };
 
+/// A command of the log that has taken effect on this node.
+struct AppliedCommand {
+  std::uint64_t index = 0;
+  const Command& command;
+  ApplyOutcome outcome = ApplyOutcome::kRejected;
+  bool replayed = false;  // it was on this node's disk when the process started
+};
+
 /// The duties of the node that leads: answers calls, decides what starts where, deals with workers
 /// and the platform. It acts on the replicated state only through proposals.
 class Leader {
@@ -39,8 +47,8 @@
   void OnCall(const CallRequest& request, Micros now, WallMs wall, Outbox& out);
   void OnOrderReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
   void OnVmReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
-  void OnApplied(std::uint64_t index, const Command& command, ApplyOutcome outcome, Micros now,
-                 WallMs wall, Outbox& out);
+  /// Call on every core node, leading or not.
+  void OnApplied(const AppliedCommand& applied, Micros now, WallMs wall, Outbox& out);
   /// Plans and renews; call after each event.
   void Tick(Micros now, WallMs wall, Outbox& out);
 
@@ -81,6 +89,7 @@
                 WallMs wall, Outbox& out);
   std::string CheckSpec(const JobSpec& spec) const;
   Answer Describe(const Queue& queue, const std::string& rest) const;
+  void Learn(const AppliedCommand& applied, Micros now);
   void LearnRunTime(const NoteEnd& end, Micros now);
   void StopEndedJob(JobId id, Micros now, Outbox& out);
   void Plan(Micros now, WallMs wall, Outbox& out);
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -58,7 +58,6 @@
   for (const PoolMove& move : moves) still[move.vm] = move.to;
   // A VM whose move is not wanted any more takes tasks again.
   emptying_ = std::move(still);
-  if (!desk_.Open(now)) return;
   for (const PoolMove& move : moves) Start(move, now, out);
 }
 
@@ -216,7 +215,7 @@
       }
       continue;
     }
-    if (desk_.IsClaimed(vm)) continue;
+    if (desk_.IsClaimed(vm) || !desk_.MayOrder(vm)) continue;
     pool.movable.push_back(
         {.vm = vm, .tasks = worker.tasks.size(), .emptying = emptying_.contains(vm)});
   }
@@ -227,7 +226,7 @@
     const auto pool = pools.find(name);
     if (pool == pools.end() || moving_.contains(vm)) continue;
     ++pool->second.vms;
-    if (!desk_.IsClaimed(vm)) pool->second.movable.push_back({.vm = vm});
+    if (!desk_.IsClaimed(vm) && desk_.MayOrder(vm)) pool->second.movable.push_back({.vm = vm});
   }
 }
 
--- a/control/vm_desk.cc
+++ b/control/vm_desk.cc
@@ -9,6 +9,8 @@
 constexpr Micros kListRetry = kSecond;
 /// An order leaves within this of the look at the lease; the next leader waits for longer.
 constexpr Micros kSendWithin = 500 * kMillisecond;
+/// Clocks of two nodes are this close.
+constexpr std::int64_t kClockSlackMs = 1'000;
 
 std::string OrderName(const VmOrder& order) {
   if (std::holds_alternative<MoveVm>(order)) return "move to " + std::get<MoveVm>(order).pool;
@@ -28,6 +30,7 @@
   EndTerm();
   fencing_token_ = fencing_token;
   term_began_ = now;
+  now_ = now;
   list_due_ = true;
 }
 
@@ -46,6 +49,32 @@
   return fencing_token_ != 0 && now - term_began_ >= options_.takeover_ms * kMillisecond;
 }
 
+bool VmDesk::MayOrder(const VmId& vm) const {
+  if (fencing_token_ == 0) return false;
+  const auto note = state_.vm_orders().find(vm);
+  if (note == state_.vm_orders().end() || note->second.fencing_token == fencing_token_ ||
+      Open(now_)) {
+    return true;
+  }
+  const auto seen = seen_.find(vm);
+  // A snapshot may have brought a later note than the one that was seen.
+  if (seen != seen_.end() && seen->second.wall_ms == note->second.wall_ms) {
+    return now_ - seen->second.at >= options_.takeover_ms * kMillisecond;
+  }
+  return wall_ - note->second.wall_ms >= options_.takeover_ms + kClockSlackMs;
+}
+
+void VmDesk::OnNoted(const NoteVmOrder& note, bool replayed, Micros now) {
+  if (replayed) {
+    seen_.erase(note.vm);
+  } else {
+    seen_[note.vm] = {.wall_ms = note.wall_ms, .at = now};
+  }
+  const auto order = orders_.find(note.vm);
+  if (order == orders_.end() || note.fencing_token != fencing_token_) return;
+  order->second.noted = order->second.note_proposed;
+}
+
 void VmDesk::Order(const VmId& vm, VmOrder order, Done done) {
   if (orders_.contains(vm)) throw StateError(vm + " has an order under way already");
   orders_[vm] = {.order = std::move(order), .done = std::move(done)};
@@ -62,16 +91,24 @@
   return token;
 }
 
-void VmDesk::Tick(Micros now, Outbox& out) {
+void VmDesk::Tick(Micros now, WallMs wall, Outbox& out) {
+  now_ = now;
+  wall_ = wall;
   if (fencing_token_ == 0) return;
   if (list_due_ && !list_out_ && now >= next_list_) {
     list_out_ = true;
     Send({}, ListVms{.page = next_page_}, now, out);
   }
-  if (!Open(now)) return;
   for (auto& [vm, pending] : orders_) {
-    if (pending.token != 0 || now < pending.next_send) continue;
-    pending.token = Send(vm, pending.order, now, out);
+    if (pending.token != 0 || now < pending.next_send || !MayOrder(vm)) continue;
+    if (pending.noted) {
+      pending.noted = false;
+      pending.note_proposed = false;
+      pending.token = Send(vm, pending.order, now, out);
+    } else if (!pending.note_proposed) {
+      pending.note_proposed = true;
+      propose_(NoteVmOrder{.vm = vm, .fencing_token = fencing_token_, .wall_ms = wall});
+    }
   }
 }
 
--- a/control/vm_desk.h
+++ b/control/vm_desk.h
@@ -15,21 +15,31 @@
 
 struct VmDeskOptions {
   std::string holder;                // name of this node towards the platform
-  std::int64_t takeover_ms = 3'000;  // no orders of a new leader before: those of the former end
+  std::int64_t takeover_ms = 3'000;  // orders of two leaders for one VM are this far apart
 };
 
 /// The leader's orders to the platform: at most one at a time for each VM, repeated until its
-/// outcome is known. A VM is claimed by whoever takes it down, until it is back.
+/// outcome is known. A VM is claimed by whoever takes it down, until it is back. Each order is
+/// noted in the log before it is sent, so that a new leader knows which VMs the former one may
+/// still be dealing with, and deals with the others at once.
 class VmDesk {
  public:
   using Done = std::function<void(VmOutcome outcome, Micros now, WallMs wall, Outbox& out)>;
 
-  explicit VmDesk(VmDeskOptions options) : options_(std::move(options)) {}
+  using Propose = std::function<void(Command)>;
+
+  VmDesk(VmDeskOptions options, const State& state, Propose propose)
+      : options_(std::move(options)), state_(state), propose_(std::move(propose)) {}
 
   void BeginTerm(std::uint64_t fencing_token, Micros now);
   void EndTerm();
-  /// Whether orders may be given yet.
+  /// Whether orders of the former leader have arrived for certain, whatever VM they were for.
   bool Open(Micros now) const;
+  /// Whether an order for this VM may be given, as of the last Tick.
+  bool MayOrder(const VmId& vm) const;
+  /// A note has taken effect, on a leader or not. `replayed`: it was on this node's disk when the
+  /// process started, so that its time is known by its wall time only.
+  void OnNoted(const NoteVmOrder& note, bool replayed, Micros now);
   bool IsClaimed(const VmId& vm) const { return claims_.contains(vm); }
   void Claim(const VmId& vm) { claims_.insert(vm); }
   void Release(const VmId& vm) { claims_.erase(vm); }
@@ -38,20 +48,33 @@
   void RequestList() { list_due_ = true; }
   const std::map<VmId, VmRecord>& vms() const { return vms_; }
   void OnReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
-  void Tick(Micros now, Outbox& out);
+  void Tick(Micros now, WallMs wall, Outbox& out);
 
  private:
   struct Pending {
     VmOrder order;
     Done done;
+    bool note_proposed = false;
+    bool noted = false;       // the next call may leave
     std::uint64_t token = 0;  // of the call under way; 0: none
     Micros next_send = 0;
   };
 
+  /// A note that this process has seen arrive.
+  struct Seen {
+    std::int64_t wall_ms = 0;  // of the note
+    Micros at = 0;
+  };
+
   std::uint64_t Send(const VmId& vm, VmOrder order, Micros now, Outbox& out);
   void OnList(const VmReply& reply, Micros now, Outbox& out);
 
   VmDeskOptions options_;
+  const State& state_;
+  Propose propose_;
+  Micros now_ = 0;
+  WallMs wall_ = 0;
+  std::map<VmId, Seen> seen_;
   std::uint64_t fencing_token_ = 0;
   Micros term_began_ = 0;
   std::uint64_t next_token_ = 1;
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -85,8 +85,17 @@
   MSGPACK_DEFINE(wave, vm)
 };
 
+/// The leader is about to give the platform an order for this VM. A later leader waits until the
+/// order has certainly arrived or never will.
+struct NoteVmOrder {
+  VmId vm;
+  std::uint64_t fencing_token = 0;
+  std::int64_t wall_ms = 0;
+  MSGPACK_DEFINE(vm, fencing_token, wall_ms)
+};
+
 using Command = std::variant<Configure, Submit, Cancel, Assign, NoteEnd, NoteWorker, ForgetWorker,
-                             StartWave, NoteMaintained>;
+                             StartWave, NoteMaintained, NoteVmOrder>;
 
 /// What applying a command came to, for whoever asked for it.
 enum class ApplyOutcome : std::uint8_t {
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -9,7 +9,10 @@
 namespace {
 
 using Image = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
-                         std::map<WaveId, Wave>, std::int64_t>;
+                         std::map<WaveId, Wave>, std::map<VmId, NoteVmOrder>, std::int64_t>;
+
+/// Orders of leaders before this are of no concern to a new one.
+constexpr std::int64_t kKeepVmOrdersMs = 60'000;
 
 /// Length of the longest chain of dependent steps.
 std::int64_t LongestChainMs(const JobSpec& spec) {
@@ -37,13 +40,14 @@
 }
 
 std::string State::Encode() const {
-  return godwitpaddle::Encode(Image(configuration_, jobs_, workers_, waves_, newest_wall_ms_));
+  return godwitpaddle::Encode(
+      Image(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_));
 }
 
 void State::Decode(const std::string& bytes) {
   Image image;
   if (!bytes.empty()) image = godwitpaddle::Decode<Image>(bytes);
-  std::tie(configuration_, jobs_, workers_, waves_, newest_wall_ms_) = std::move(image);
+  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_) = std::move(image);
   RebuildIndexes();
 }
 
@@ -289,4 +293,12 @@
   return ApplyOutcome::kApplied;
 }
 
+ApplyOutcome State::ApplyOne(const NoteVmOrder& command) {
+  std::erase_if(vm_orders_, [&](const auto& entry) {
+    return entry.second.wall_ms + kKeepVmOrdersMs < command.wall_ms;
+  });
+  vm_orders_[command.vm] = command;
+  return ApplyOutcome::kApplied;
+}
+
 }  // namespace godwitpaddle::jobs
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -107,6 +107,8 @@
   const std::map<WorkerId, Worker>& workers() const { return workers_; }
   const Worker* FindWorker(const WorkerId& id) const;
   const std::map<WaveId, Wave>& waves() const { return waves_; }
+  /// The last order for each VM that was moved or maintained lately.
+  const std::map<VmId, NoteVmOrder>& vm_orders() const { return vm_orders_; }
   const std::map<std::string, Resources>& team_usage() const { return team_usage_; }
 
  private:
@@ -119,6 +121,7 @@
   ApplyOutcome ApplyOne(const ForgetWorker& command);
   ApplyOutcome ApplyOne(const StartWave& command);
   ApplyOutcome ApplyOne(const NoteMaintained& command);
+  ApplyOutcome ApplyOne(const NoteVmOrder& command);
 
   bool MayStart(const Job& job, const TaskId& id, const Worker& worker) const;
   Task* MutableTask(const TaskId& id);
@@ -135,6 +138,7 @@
   Configuration configuration_;
   std::map<JobId, Job> jobs_;
   std::map<WorkerId, Worker> workers_;
+  std::map<VmId, NoteVmOrder> vm_orders_;
   std::map<WaveId, Wave> waves_;
   std::int64_t newest_wall_ms_ = 0;
   // Derived from the above.
