Let the soak of job control lose all power after acknowledgements, and run waves

It now has a second kind of run: all core nodes lose power right after a worker was told to forget ends (what was not synced is gone), waves over all VMs with bounds that the platform's stand-in checks at each maintenance, and lost answers of the platform.

--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -28,6 +28,7 @@
   const jobs::WorkerRecord& record() const { return record_; }
   jobs::WorkerRecord& record() { return record_; }
   bool alive = true;
+  bool retired = false;  // its VM was taken down
   bool fails_all = false;
   std::uint64_t sequence = 0;
   double clock_rate = 1;
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -271,6 +271,7 @@
 
 void JobCluster::RestartWorker(const jobs::WorkerId& id) {
   FakeWorker& worker = workers_.at(id);
+  if (worker.retired) return;  // another worker has its VM
   worker.Restart(wall(), now_);
   log_.push_back(std::to_string(now_ / kMillisecond) + " " + id + " started again");
 }
@@ -332,8 +333,13 @@
       }
     }
   }
+  const std::uint64_t acknowledged = worker.acknowledged();
   const jobs::OrderReply reply =
       worker.Carry(order.order, order.fencing_token, size, duration, now_);
+  const bool forgot = worker.acknowledged() > acknowledged;
+  if (forgot && options_.power_loss_after_ack > 0 && Chance(options_.power_loss_after_ack)) {
+    return LoseAllPower();
+  }
   if (start != nullptr && worker.started) CheckStart(worker, *start);
   const bool waits = hold != nullptr && hold->wait_ms > 0 && reply.ended.empty();
   if (waits && answered) {
@@ -374,17 +380,7 @@
   const std::uint64_t life = slots_[node].life;
   jobs::VmReply reply{.outcome = jobs::VmOutcome::kDone};
   if (const auto* maintain = std::get_if<jobs::MaintainVm>(&effect.order)) {
-    maintained.push_back(maintain->vm);
-    for (auto& [id, worker] : workers_) {
-      if (worker.record().vm != maintain->vm || !worker.alive) continue;
-      worker.alive = false;
-      const jobs::WorkerRecord old = worker.record();
-      After(kMaintenance, [this, old] {
-        FakeWorker& next = AddWorker(old.service, old.capacity);
-        next.record().vm = old.vm;
-      });
-      break;
-    }
+    MaintainOnce(*maintain);
   } else {
     for (const auto& [id, worker] : workers_) {
       if (!worker.alive) continue;
@@ -394,9 +390,44 @@
                            .worker = id});
     }
   }
+  if (options_.lost_vm_answers > 0 && Chance(options_.lost_vm_answers)) {
+    reply = {.outcome = jobs::VmOutcome::kUnknown};
+  }
   After(5 * kMillisecond, [this, node, life, token = effect.token, reply = std::move(reply)] {
     Deliver(node, life, jobs::VmEvent{.token = token, .reply = reply});
   });
 }
 
+void JobCluster::MaintainOnce(const jobs::MaintainVm& order) {
+  if (!maintained_.emplace(order.wave, order.vm).second) return;  // done already
+  maintained.push_back(order.vm);
+  const auto bound = wave_bounds.find(order.wave);
+  if (bound != wave_bounds.end() && being_maintained_[order.wave] >= bound->second) {
+    Violate("maintenance of " + order.vm + " begins while " + std::to_string(bound->second) +
+            " VMs of its wave are down");
+  }
+  ++being_maintained_[order.wave];
+  After(kMaintenance, [this, wave = order.wave] { --being_maintained_[wave]; });
+  for (auto& [id, worker] : workers_) {
+    if (worker.record().vm != order.vm || worker.retired) continue;
+    worker.alive = false;
+    worker.retired = true;
+    const jobs::WorkerRecord old = worker.record();
+    After(kMaintenance, [this, old] {
+      FakeWorker& next = AddWorker(old.service, old.capacity);
+      next.record().vm = old.vm;
+    });
+    break;
+  }
+}
+
+void JobCluster::LoseAllPower() {
+  ++power_losses;
+  log_.push_back(std::to_string(now_ / kMillisecond) + " all core nodes lose power");
+  for (std::size_t node = 0; node < options_.cores; ++node) {
+    LosePower(node);
+    After(500 * kMillisecond, [this, node] { Start(node); });
+  }
+}
+
 }  // namespace godwitpaddle::testing
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -26,6 +26,8 @@
   Micros max_delay = 2 * kMillisecond;  // of each message
   double lost_answers = 0;              // of workers' answers; the order was carried out
   double late_orders = 0;               // not answered, and carried out seconds later
+  double power_loss_after_ack = 0;      // of all core nodes, when a worker is told to forget ends
+  double lost_vm_answers = 0;           // of the platform's answers; the order was carried out
 };
 
 /// Nodes of job control in virtual time, over links, disks, workers and a platform that can fail.
@@ -76,6 +78,9 @@
   void RestartWorker(const jobs::WorkerId& id);
   void CutWorker(const jobs::WorkerId& id, Micros duration);
   std::vector<std::string> maintained;  // VMs, in order
+  /// Bounds of waves, checked at each maintenance.
+  std::map<jobs::WaveId, std::size_t> wave_bounds;
+  std::uint64_t power_losses = 0;
 
   std::vector<std::string> violations;
   void Violate(std::string what);
@@ -110,6 +115,10 @@
   void Carry(std::size_t node, jobs::Effect& effect);
   void CarryOrder(std::size_t node, const jobs::OrderEffect& order);
   void CarryVmOrder(std::size_t node, const jobs::VmEffect& effect);
+  void MaintainOnce(const jobs::MaintainVm& order);
+  /// Power comes back after half a second; what was not synced is gone, and so is what was on its
+  /// way to the nodes.
+  void LoseAllPower();
   void Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
                std::int64_t born, bool answered);
   void Reply(std::size_t node, std::uint64_t life, std::uint64_t token, jobs::OrderReply reply,
@@ -128,6 +137,8 @@
   std::map<std::size_t, Micros> isolated_;
   std::map<jobs::WorkerId, FakeWorker> workers_;
   std::map<jobs::WorkerId, Micros> cut_workers_;
+  std::set<std::pair<jobs::WaveId, jobs::VmId>> maintained_;
+  std::map<jobs::WaveId, std::size_t> being_maintained_;
   std::set<jobs::TaskId> done_;  // tasks with a noted end `done`
   Micros now_ = 0;
   std::uint64_t next_order_ = 0;
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kMostDown = 2;    // core nodes that may be lost at once
 constexpr jobs::JobId kKeptJobs = 400;  // the clients of a run ask for no older ones
 constexpr Micros kLongestFault = 3 * kSecond;
+constexpr double kPowerLossAfterAck = 0.001;
+constexpr double kLostVmAnswers = 0.05;
+constexpr std::uint64_t kStepsPerWave = 400;
 
 /// What the clients were told of one job.
 struct Known {
@@ -35,7 +38,9 @@
                   .seed = options.seed,
                   .loss = 0.01,
                   .lost_answers = 0.02,
-                  .late_orders = 0.01}) {}
+                  .late_orders = 0.01,
+                  .power_loss_after_ack = options.waves_and_power ? kPowerLossAfterAck : 0,
+                  .lost_vm_answers = options.waves_and_power ? kLostVmAnswers : 0}) {}
 
   JobSoakResult Run();
 
@@ -51,6 +56,8 @@
   void Query(jobs::JobId job);
   void Configure();
   void ReadConfiguration();
+  void StartWave();
+  void CheckWaves();
   void Break();
   void BreakNode();
   void BreakWorker();
@@ -69,6 +76,7 @@
   std::uint64_t last_version_ = 1;
   std::uint64_t acknowledged_version_ = 1;
   std::set<std::size_t> broken_;  // core nodes that are lost now
+  jobs::WaveId last_wave_ = 0;
 };
 
 jobs::Configuration Soak::MakeConfiguration(std::uint64_t version) const {
@@ -174,6 +182,31 @@
                 });
 }
 
+/// Of all VMs; repeated until it is acknowledged, as operators do.
+void Soak::StartWave() {
+  jobs::StartWave wave{.wave = ++last_wave_, .duration_ms = 60'000};
+  wave.max_down = 1 + static_cast<std::uint32_t>(Draw(2));
+  for (std::size_t i = 1; i <= kWorkers; ++i) wave.vms.push_back("vm-" + std::to_string(i));
+  cluster_.wave_bounds[wave.wave] = wave.max_down;
+  while (cluster_.Ask(Draw(cluster_.cores()), jobs::WaveCall{.wave = wave}).code !=
+         AnswerCode::kOk) {
+    cluster_.RunFor(200 * kMillisecond);
+  }
+}
+
+void Soak::CheckWaves() {
+  for (jobs::WaveId wave = 1; wave <= last_wave_; ++wave) {
+    const std::string phase = cluster_.Ask(0, jobs::WaveQueryCall{.wave = wave}).text;
+    if (phase != "completed") {
+      cluster_.Violate("wave " + std::to_string(wave) + " is " + phase + " at the end");
+    }
+  }
+  if (cluster_.maintained.size() != last_wave_ * kWorkers) {
+    cluster_.Violate(std::to_string(cluster_.maintained.size()) + " VMs maintained in " +
+                     std::to_string(last_wave_) + " waves");
+  }
+}
+
 std::size_t Soak::Down() const { return broken_.size(); }
 
 void Soak::BreakNode() {
@@ -211,7 +244,7 @@
 }
 
 void Soak::BreakWorker() {
-  const jobs::WorkerId id = "worker-" + std::to_string(1 + Draw(kWorkers));
+  const jobs::WorkerId id = "worker-" + std::to_string(1 + Draw(cluster_.workers().size()));
   ++result_.faults;
   const Micros time = 100 * kMillisecond + static_cast<Micros>(Draw(2 * kLongestFault));
   if (Draw(2) == 0) {
@@ -273,6 +306,7 @@
   cluster_.options().lost_answers = 0;
   cluster_.RunFor(12 * kSecond);
   for (std::size_t node = 0; node < cluster_.size(); ++node) cluster_.Start(node);
+  cluster_.options().power_loss_after_ack = 0;
   for (auto& [id, worker] : cluster_.workers()) {
     if (!worker.alive) cluster_.RestartWorker(id);
   }
@@ -288,6 +322,7 @@
       std::stoull(configuration.text) < acknowledged_version_) {
     cluster_.Violate("the configuration at the end is " + configuration.text);
   }
+  CheckWaves();
   for (const auto& [job, known] : known_) {
     if (!known.accepted) continue;
     // Ended jobs may be forgotten after their time.
@@ -302,11 +337,16 @@
 
 JobSoakResult Soak::Run() {
   StartUp();
-  for (std::uint64_t step = 0; step < options_.steps && cluster_.violations.empty(); ++step) Act();
+  for (std::uint64_t step = 0; step < options_.steps && cluster_.violations.empty(); ++step) {
+    if (options_.waves_and_power && step % kStepsPerWave == kStepsPerWave / 2) StartWave();
+    Act();
+  }
   if (cluster_.violations.empty()) Heal();
   if (cluster_.violations.empty()) CheckEnd();
   result_.violations = cluster_.violations;
   result_.log = cluster_.log();
+  result_.maintained = cluster_.maintained.size();
+  result_.power_losses = cluster_.power_losses;
   return result_;
 }
 
@@ -320,6 +360,8 @@
          " cancelled=" + std::to_string(result.cancelled) +
          " refused=" + std::to_string(result.refused) +
          " unknown=" + std::to_string(result.unknown) + " faults=" + std::to_string(result.faults) +
+         " maintained=" + std::to_string(result.maintained) +
+         " power_losses=" + std::to_string(result.power_losses) +
          " violations=" + std::to_string(result.violations.size());
 }
 
--- a/tests/job_soak_run.h
+++ b/tests/job_soak_run.h
@@ -10,6 +10,9 @@
 struct JobSoakOptions {
   std::uint64_t seed = 1;
   std::uint64_t steps = 2'000;  // actions of clients, operators and faults
+  /// Adds waves of maintenance, lost answers of the platform, and losses of power of all core nodes
+  /// right after a worker was told to forget ends.
+  bool waves_and_power = false;
 };
 
 struct JobSoakResult {
@@ -19,6 +22,8 @@
   std::uint64_t refused = 0;
   std::uint64_t unknown = 0;
   std::uint64_t faults = 0;
+  std::uint64_t maintained = 0;
+  std::uint64_t power_losses = 0;
   std::vector<std::string> violations;
   std::vector<std::string> log;  // the last lines of the nodes
 };
--- a/tests/job_soak_test.cc
+++ b/tests/job_soak_test.cc
@@ -14,6 +14,16 @@
     CHECK(result.violations.empty());
     CHECK(result.accepted > 0);
   }
+  SECTION("with waves, and losses of power right after acknowledgements") {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+      const JobSoakResult result =
+          RunJobSoak({.seed = seed, .steps = 1'000, .waves_and_power = true});
+      INFO("seed " << seed << " " << JobSoakLine(result));
+      for (const std::string& violation : result.violations) UNSCOPED_INFO(violation);
+      CHECK(result.violations.empty());
+      CHECK(result.maintained > 0);
+    }
+  }
   SECTION("seeds that failed once") {
     // A hold that acknowledged ends of a worker's former incarnation to the next one.
     for (const std::uint64_t seed : {12, 13, 20, 21, 22}) {
