Notice a worker that restarted unnoticed under its id, and the leases it may hold

The next start reaches the new incarnation under the old one's name and ends there; the next hold acknowledges ends by the old count, and the new incarnation forgets an end that nobody has read. The task runs again. Now an answer whose clock is behind what the known incarnation showed when the order left marks the worker as unconfirmed, and nothing is acknowledged while a start is unanswered. - The same start carries a lease end on the old clock, which gives the new incarnation the longest lease there is. After a change of leader it was taken for the usual one, and its tasks were started again 6 s too early. Leases of a restarted worker, and of a young one at a change of leader, now count as the longest.

--- a/control/core_node.cc
+++ b/control/core_node.cc
@@ -247,7 +247,7 @@
 
 void CoreNode::FollowLeadership() {
   const bool leads = replica_.is_leader() && replica_.KnowsCommit();
-  if (leads && !leader_.leading()) leader_.BeginTerm(replica_.term(), now_, out_);
+  if (leads && !leader_.leading()) leader_.BeginTerm(replica_.term(), now_, wall_, out_);
   if (!replica_.is_leader() && leader_.leading()) leader_.EndTerm(out_);
 }
 
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -56,12 +56,12 @@
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, desk_, maintenance_, demand_) {}
 
-void Leader::BeginTerm(replication::Term term, Micros now, Outbox& out) {
+void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
   term_ = term;
   proposals_.clear();
   askers_.clear();
   unapplied_starts_ = 0;
-  fleet_.BeginTerm(term, now);
+  fleet_.BeginTerm(term, now, wall);
   desk_.BeginTerm(term, now);
   maintenance_.BeginTerm(now);
   pools_.BeginTerm();
--- a/control/leader.h
+++ b/control/leader.h
@@ -39,7 +39,7 @@
  public:
   Leader(LeaderOptions options, const State& state);
 
-  void BeginTerm(replication::Term term, Micros now, Outbox& out);
+  void BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out);
   void EndTerm(Outbox& out);
   bool leading() const { return term_ != 0; }
 
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -184,9 +184,9 @@
   for (const auto& [service, waits] : LastingWaits(now)) {
     const auto pool = pools.find(service);
     if (pool == pools.end()) continue;
-    const auto typical = std::ranges::find_if(state_.workers(), [&](const auto& entry) {
-      return entry.second.record.service == service;
-    });
+    const auto typical = std::ranges::find_if(
+        state_.workers(),
+        [&name = pool->first](const auto& entry) { return entry.second.record.service == name; });
     const Resources vm =
         typical == state_.workers().end() ? Resources() : typical->second.record.capacity;
     pool->second.lasting_vms = pool->second.vms + VmsForLasting(waits, vm);
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -16,6 +16,10 @@
 /// Lease time runs on the worker's clock, which may be slow by 2 percent.
 constexpr double kSlowestClock = 0.98;
 constexpr Micros kLapseMargin = 100 * kMillisecond;
+/// Clocks are told in whole milliseconds.
+constexpr std::int64_t kClockRoundingMs = 2;
+/// An incarnation is young for so many of the longest leases; clocks of VMs differ by seconds.
+constexpr std::int64_t kYoungLeases = 2;
 constexpr std::int64_t kStartTimeoutMs = 400;
 constexpr std::int64_t kStopTimeoutMs = 500;
 constexpr std::int64_t kListTimeoutMs = 700;
@@ -38,7 +42,7 @@
 
 }  // namespace
 
-void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now) {
+void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now, WallMs wall) {
   fencing_token_ = fencing_token;
   term_began_ = now;
   sent_.clear();
@@ -48,7 +52,10 @@
     View& view = views_[id];
     ResetIncarnation(view, worker.record, now);
     view.last_heard = now;
-    view.lapse_at = now + LeaseToLocal(options_.lease_ms) + kLapseMargin;
+    // A former leader's order for the incarnation before may have given a young one any lease.
+    const bool young = wall - worker.record.born_ms < kYoungLeases * options_.longest_lease_ms;
+    if (young) view.first_lease_ms = options_.longest_lease_ms;
+    view.lapse_at = now + LeaseToLocal(view.first_lease_ms) + kLapseMargin;
     for (const TaskId& task : worker.tasks) view.runs[task].run = state_.FindTask(task)->run;
   }
 }
@@ -66,6 +73,8 @@
 }
 
 void WorkerFleet::ResetIncarnation(View& view, const WorkerRecord& record, Micros now) {
+  // An order meant for its predecessor, whose clock showed more, may have given it any lease.
+  view.first_lease_ms = view.born_ms == 0 ? options_.lease_ms : options_.longest_lease_ms;
   view.born_ms = record.born_ms;
   view.sequence = 0;
   view.has_clock = false;
@@ -87,12 +96,9 @@
   if (clock_ms <= 0) return;
   if (!view.has_clock) {
     // An earlier leader may have renewed the lease just before this term.
-    view.lease_end_ms = std::max(view.lease_end_ms, clock_ms + options_.lease_ms);
-  } else {
-    const auto least =
-        view.clock_ms + static_cast<std::int64_t>(static_cast<double>(now - view.clock_at) *
-                                                  kSlowestClock / kMillisecond);
-    if (clock_ms < least) return;  // was held up on its way
+    view.lease_end_ms = std::max(view.lease_end_ms, clock_ms + view.first_lease_ms);
+  } else if (clock_ms < LeastClockAt(view, now)) {
+    return;  // was held up on its way
   }
   view.has_clock = true;
   view.clock_ms = clock_ms;
@@ -100,6 +106,18 @@
   view.lapse_at = now + LeaseToLocal(view.lease_end_ms - clock_ms) + kLapseMargin;
 }
 
+std::int64_t WorkerFleet::LeastClockAt(const View& view, Micros time) {
+  const double rate = time >= view.clock_at ? kSlowestClock : 1.0;
+  return view.clock_ms +
+         static_cast<std::int64_t>(static_cast<double>(time - view.clock_at) * rate / kMillisecond);
+}
+
+bool WorkerFleet::IsFromAnother(const Sent& sent, const View& view, const OrderReply& reply) {
+  if (!view.has_clock || reply.clock_ms <= 0 || sent.born_ms != view.born_ms) return false;
+  // Each incarnation's clock begins anew, and this answer cannot be older than its order.
+  return reply.clock_ms + kClockRoundingMs < LeastClockAt(view, sent.sent_at);
+}
+
 std::int64_t WorkerFleet::ClockNow(const View& view, Micros now) const {
   return view.clock_ms + (now - view.clock_at) / kMillisecond;
 }
@@ -306,9 +324,12 @@
 void WorkerFleet::SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out) {
   const Worker* known = state_.FindWorker(worker);
   // A worker that was silent may be another incarnation, whose ends are counted anew and must not
-  // be forgotten: nothing is acknowledged before a list has shown which one answers, nor twice.
+  // be forgotten: nothing is acknowledged before a list has shown which one answers, nor twice, nor
+  // while a start is unanswered, which the other one may have carried out and ended.
   const bool certain = view.listed && view.confirmed;
-  const bool to_forget = certain && known->noted_ends > view.told_ends;
+  const bool start_out =
+      std::ranges::any_of(view.runs, [](const auto& entry) { return entry.second.start_out; });
+  const bool to_forget = certain && !start_out && known->noted_ends > view.told_ends;
   HoldOrder hold{.noted_ends = to_forget ? known->noted_ends : 0};
   const bool renew = view.has_clock && certain && !view.leaving && !view.runs.empty();
   if (renew) hold.until_ms = ExtendLease(view, options_.lease_ms, now);
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -16,9 +16,10 @@
 namespace godwitpaddle::jobs {
 
 struct FleetOptions {
-  std::int64_t lease_ms = 4'000;      // of everything on a worker, renewed by each hold
-  std::int64_t heartbeat_ms = 1'500;  // period of the workers' reports
-  std::int64_t stop_ms = 1'000;       // a stopped run is gone after this
+  std::int64_t lease_ms = 4'000;           // of everything on a worker, renewed by each hold
+  std::int64_t longest_lease_ms = 10'000;  // a worker shortens longer ones to this
+  std::int64_t heartbeat_ms = 1'500;       // period of the workers' reports
+  std::int64_t stop_ms = 1'000;            // a stopped run is gone after this
 };
 
 /// The leader's dealings with the workers: starts, stops, leases, and what is known of each run.
@@ -34,7 +35,7 @@
       : options_(options), state_(state), propose_(std::move(propose)) {}
 
   /// This node leads from now on, with `fencing_token` above those of all earlier leaders.
-  void BeginTerm(std::uint64_t fencing_token, Micros now);
+  void BeginTerm(std::uint64_t fencing_token, Micros now, WallMs wall);
   void EndTerm();
 
   /// Returns false when the report is older than what is known and was ignored.
@@ -108,12 +109,13 @@
     std::int64_t born_ms = 0;
     std::uint64_t sequence = 0;  // of the newest report
     bool has_clock = false;
-    std::int64_t clock_ms = 0;      // the worker's clock was at least this
-    Micros clock_at = 0;            // at this time
-    std::int64_t lease_end_ms = 0;  // latest that any call of this term carried
-    Micros lapse_at = 0;            // every lease has run out by then
-    bool listed = false;            // its lists were read in this term
-    bool leaving = false;           // said goodbye
+    std::int64_t clock_ms = 0;        // the worker's clock was at least this
+    Micros clock_at = 0;              // at this time
+    std::int64_t lease_end_ms = 0;    // latest that any call of this term carried
+    Micros lapse_at = 0;              // every lease has run out by then
+    std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
+    bool listed = false;              // its lists were read in this term
+    bool leaving = false;             // said goodbye
     Micros left_at = 0;
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
@@ -147,6 +149,10 @@
   void RetireOthers(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
+  /// The worker's clock showed at least this at that time.
+  static std::int64_t LeastClockAt(const View& view, Micros time);
+  /// Whether another incarnation than the one known has answered an order.
+  static bool IsFromAnother(const Sent& sent, const View& view, const OrderReply& reply);
   std::int64_t ClockNow(const View& view, Micros now) const;
   std::int64_t ExtendLease(View& view, std::int64_t lease_ms, Micros now) const;
   void SendOrder(Sent sent, Order order, std::int64_t timeout_ms, Outbox& out);
@@ -157,6 +163,7 @@
   void SendStopOrder(const WorkerId& worker, const View& view, const TaskId& task,
                      std::uint32_t run, Micros now, Outbox& out);
   void SendHold(const WorkerId& worker, View& view, Micros now, Outbox& out);
+  void OnForeignReply(const Sent& sent, View& view, Micros now);
   void OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall,
                     Outbox& out);
   void OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -29,7 +29,17 @@
   const OrderReply& reply = event.reply;
   const bool answered =
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
-  if (sent.born_ms == view->born_ms && answered) {
+  if (answered && IsFromAnother(sent, *view, reply)) {
+    // What it has done shows in its lists; until then nothing is acknowledged or renewed.
+    out.Log("worker_restarted",
+            {{"worker", sent.worker},
+             {"clock_ms", std::to_string(reply.clock_ms)},
+             {"known_clock_ms", std::to_string(view->clock_ms)}},
+            Severity::kWarning);
+    view->confirmed = false;
+    view->hold_at = std::min(view->hold_at, now + kHoldPause);
+    if (sent.kind != OrderKind::kHold) return OnForeignReply(sent, *view, now);
+  } else if (sent.born_ms == view->born_ms && answered) {
     NoteClock(*view, reply.clock_ms, now);
     view->last_heard = now;
   }
@@ -64,6 +74,18 @@
   }
 }
 
+/// The order is repeated, if it is still wanted, once the incarnation is known.
+void WorkerFleet::OnForeignReply(const Sent& sent, View& view, Micros now) {
+  const auto found = view.runs.find(sent.task);
+  if (found == view.runs.end() || found->second.run != sent.run) return;
+  if (sent.kind == OrderKind::kStart) {
+    found->second.start_out = false;
+    found->second.resend_at = now + kRetryPause;
+  } else {
+    found->second.stop_out = false;
+  }
+}
+
 void WorkerFleet::OnStartReply(const Sent& sent, View& view, const OrderReply& reply, Micros now,
                                WallMs wall, Outbox& out) {
   const auto found = view.runs.find(sent.task);
--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -57,6 +57,7 @@
           .state = {.keep_ended_ms = timing.keep_ended_s * 1'000},
           .leader = {.node = settings.node,
                      .fleet = {.lease_ms = std::min(timing.longest_lease_ms, kTaskLeaseMs),
+                               .longest_lease_ms = timing.longest_lease_ms,
                                .heartbeat_ms = timing.heartbeat_ms,
                                .stop_ms = timing.stop_ms},
                      .desk = {.holder = settings.node, .takeover_ms = timing.holder_lease_ms},
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -182,7 +182,7 @@
     });
   } else if (auto* persist = std::get_if<PersistEffect>(&effect)) {
     slot.unsynced.push_back(std::move(persist->batch));
-    After(2 * kMillisecond + Delay(), [this, node, life = slot.life] {
+    After(options_.sync_time + Delay(), [this, node, life = slot.life] {
       Slot& one = slots_[node];
       if (one.life != life || one.unsynced.empty()) return;
       const auto batch = one.unsynced.front();
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -28,6 +28,7 @@
   double late_orders = 0;               // not answered, and carried out seconds later
   double power_loss_after_ack = 0;      // of all core nodes, when a worker is told to forget ends
   double lost_vm_answers = 0;           // of the platform's answers; the order was carried out
+  Micros sync_time = 2 * kMillisecond;  // of a disk, and up to max_delay more
 };
 
 /// Nodes of job control in virtual time, over links, disks, workers and a platform that can fail.
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -17,9 +17,11 @@
 constexpr std::size_t kMostDown = 2;    // core nodes that may be lost at once
 constexpr jobs::JobId kKeptJobs = 400;  // the clients of a run ask for no older ones
 constexpr Micros kLongestFault = 3 * kSecond;
-constexpr double kPowerLossAfterAck = 0.001;
+constexpr double kPowerLossAfterAck = 0.002;
 constexpr double kLostVmAnswers = 0.05;
 constexpr std::uint64_t kStepsPerWave = 400;
+constexpr Micros kSlowSync = 250 * kMillisecond;
+constexpr Micros kSlowDisks = 3 * kSecond;
 
 /// What the clients were told of one job.
 struct Known {
@@ -58,6 +60,7 @@
   void ReadConfiguration();
   void StartWave();
   void CheckWaves();
+  void SlowDisks();
   void Break();
   void BreakNode();
   void BreakWorker();
@@ -255,7 +258,16 @@
   }
 }
 
+/// An acknowledgement that does not wait for the disks goes out long before they are done.
+void Soak::SlowDisks() {
+  ++result_.faults;
+  const Micros usual = JobClusterOptions().sync_time;
+  cluster_.options().sync_time = kSlowSync;
+  cluster_.After(kSlowDisks, [this, usual] { cluster_.options().sync_time = usual; });
+}
+
 void Soak::Break() {
+  if (options_.waves_and_power && Draw(6) == 0) return SlowDisks();
   if (Draw(3) == 0) {
     BreakNode();
   } else if (Draw(3) == 0) {
