--- a/runtime/http_connection.cc
+++ b/runtime/http_connection.cc
@@ -200,7 +200,8 @@
   for (const auto& field : message) {
     std::string name(field.name_string());
     std::ranges::transform(name, name.begin(), [](unsigned char c) { return std::tolower(c); });
-    result.headers[name] = std::string(field.value());
+    const auto value = field.value();
+    result.headers[name].assign(value.data(), value.size());
   }
   return result;
 }
