Log what tells apart why a task started again: workers taken down and forgotten, repeated VM orders, ends of former runs

Warnings have a budget of their own (400 a second), so that routine lines cannot push them out, and what is dropped is counted by level.

No decision changes.

--- a/control/vm_desk.cc
+++ b/control/vm_desk.cc
@@ -14,7 +14,9 @@
 
 std::string OrderName(const VmOrder& order) {
   if (std::holds_alternative<MoveVm>(order)) return "move to " + std::get<MoveVm>(order).pool;
-  if (std::holds_alternative<MaintainVm>(order)) return "maintain";
+  if (const auto* maintain = std::get_if<MaintainVm>(&order)) {
+    return "maintain for wave " + std::to_string(maintain->wave);
+  }
   return "list";
 }
 
@@ -77,7 +79,7 @@
 
 void VmDesk::Order(const VmId& vm, VmOrder order, Done done) {
   if (orders_.contains(vm)) throw StateError(vm + " has an order under way already");
-  orders_[vm] = {.order = std::move(order), .done = std::move(done)};
+  orders_[vm] = {.order = std::move(order), .done = std::move(done), .ordered = now_};
 }
 
 std::uint64_t VmDesk::Send(const VmId& vm, VmOrder order, Micros now, Outbox& out) {
@@ -104,6 +106,7 @@
     if (pending.noted) {
       pending.noted = false;
       pending.note_proposed = false;
+      ++pending.sends;
       pending.token = Send(vm, pending.order, now, out);
     } else if (!pending.note_proposed) {
       pending.note_proposed = true;
@@ -121,9 +124,14 @@
   const auto found = orders_.find(vm);
   if (found == orders_.end() || found->second.token != event.token) return;
   const VmOutcome outcome = event.reply.outcome;
-  out.Log("vm_order", {{"vm", vm},
-                       {"order", OrderName(found->second.order)},
-                       {"outcome", std::string(NameOf(kVmOutcomeNames, outcome))}});
+  const Micros age = now - found->second.ordered;
+  out.Log("vm_order",
+          {{"vm", vm},
+           {"order", OrderName(found->second.order)},
+           {"outcome", std::string(NameOf(kVmOutcomeNames, outcome))},
+           {"sends", std::to_string(found->second.sends)},
+           {"age_ms", std::to_string(age / kMillisecond)}},
+          found->second.sends > 1 ? Severity::kWarning : Severity::kInfo);
   if (!IsSettled(outcome)) {
     found->second.token = 0;
     found->second.next_send = now + kOrderRetry;
--- a/control/vm_desk.h
+++ b/control/vm_desk.h
@@ -56,6 +56,8 @@
     Done done;
     bool note_proposed = false;
     bool noted = false;       // the next call may leave
+    int sends = 0;            // calls that left
+    Micros ordered = 0;       // when it was given
     std::uint64_t token = 0;  // of the call under way; 0: none
     Micros next_send = 0;
   };
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -247,14 +247,39 @@
     View& view = views_[note->record.id];
     if (view.last_heard == 0) view.last_heard = now;
     if (view.born_ms != note->record.born_ms && outcome == ApplyOutcome::kApplied) {
+      if (view.born_ms != 0) LogIncarnation(note->record, view, out);
       ResetIncarnation(view, note->record, now);
       view.suspect = false;
     }
   } else if (const auto* forget = std::get_if<ForgetWorker>(&command)) {
-    if (outcome == ApplyOutcome::kApplied) views_.erase(forget->worker);
+    if (outcome != ApplyOutcome::kApplied) return;
+    LogForgotten(*forget, out);
+    views_.erase(forget->worker);
   }
 }
 
+void WorkerFleet::LogIncarnation(const WorkerRecord& record, const View& former, Outbox& out) {
+  out.Log("worker_incarnation",
+          {{"worker", record.id},
+           {"vm", record.vm},
+           {"born_ms", std::to_string(record.born_ms)},
+           {"former_born_ms", std::to_string(former.born_ms)},
+           {"runs", std::to_string(former.runs.size())}},
+          Severity::kWarning);
+}
+
+void WorkerFleet::LogForgotten(const ForgetWorker& forget, Outbox& out) const {
+  const auto view = views_.find(forget.worker);
+  if (view == views_.end()) return;
+  const View& last = view->second;
+  out.Log("worker_forgotten",
+          {{"worker", forget.worker},
+           {"born_ms", std::to_string(forget.born_ms)},
+           {"leaving", last.leaving ? "true" : "false"},
+           {"told_ends", std::to_string(last.told_ends)}},
+          last.leaving ? Severity::kWarning : Severity::kInfo);
+}
+
 void WorkerFleet::CountEnd(View& view, EndKind how, Micros now) {
   if (how == EndKind::kDone) {
     view.failures_in_row = 0;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -89,6 +89,11 @@
       EndKind::kRefused, EndKind::kRefused, EndKind::kStopped, EndKind::kLost,
       EndKind::kLost,    EndKind::kLost,    EndKind::kLost,    EndKind::kLost};
 
+  /// Whether starts end so all the time, without a failure of the worker.
+  static bool IsRoutine(Conclusion conclusion) {
+    return conclusion == Conclusion::kRefused || conclusion == Conclusion::kNeverSent;
+  }
+
   struct Run {
     std::uint32_t run = 0;
     RunPhase phase = RunPhase::kInherited;
@@ -169,7 +174,8 @@
   void OnStopReply(const Sent& sent, View& view, const OrderReply& reply, Micros now);
   void OnHoldReply(const Sent& sent, View& view, const OrderReply& reply, Micros now, WallMs wall,
                    Outbox& out);
-  void NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply, WallMs wall);
+  void NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply, WallMs wall,
+                Outbox& out);
   void NoteRunning(const WorkerId& worker, View& view, const OrderReply& reply, Micros now,
                    Outbox& out);
   void ConcludeUnlisted(const Sent& sent, View& view, const OrderReply& reply, WallMs wall,
@@ -182,6 +188,10 @@
                   Outbox& out);
   void TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out);
   void CountEnd(View& view, EndKind how, Micros now);
+  static void LogIncarnation(const WorkerRecord& record, const View& former, Outbox& out);
+  void LogForgotten(const ForgetWorker& forget, Outbox& out) const;
+  /// An end that is not the one of the run which the task has now: what the task is at then.
+  void LogFormerEnd(const WorkerId& worker, const EndedRun& end, Outbox& out) const;
 
   FleetOptions options_;
   const State& state_;
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -167,19 +167,23 @@
   view.confirmed = true;
   view.told_ends = std::max(view.told_ends, sent.noted_ends);
   view.proposed_ends = std::max(view.proposed_ends, sent.noted_ends);
-  NoteEnds(sent.worker, view, reply, wall);
+  NoteEnds(sent.worker, view, reply, wall, out);
   NoteRunning(sent.worker, view, reply, now, out);
   ConcludeUnlisted(sent, view, reply, wall, out);
 }
 
-void WorkerFleet::NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply,
-                           WallMs wall) {
+void WorkerFleet::NoteEnds(const WorkerId& worker, View& view, const OrderReply& reply, WallMs wall,
+                           Outbox& out) {
   for (const EndedRun& end : reply.ended) {
     if (end.number <= view.proposed_ends) continue;
     view.proposed_ends = end.number;
     const auto run = view.runs.find(end.task);
     const bool ours = run != view.runs.end() && run->second.run == end.run;
-    if (ours) run->second.end_proposed = true;
+    if (ours) {
+      run->second.end_proposed = true;
+    } else {
+      LogFormerEnd(worker, end, out);
+    }
     propose_(NoteEnd{.worker = worker,
                      .born_ms = view.born_ms,
                      .number = end.number,
@@ -191,6 +195,21 @@
   }
 }
 
+void WorkerFleet::LogFormerEnd(const WorkerId& worker, const EndedRun& end, Outbox& out) const {
+  const Task* task = state_.FindTask(end.task);
+  if (task == nullptr || (task->phase == TaskPhase::kDone && task->run == end.run)) return;
+  out.Log("former_run_ended",
+          {{"task", FormatTask(end.task)},
+           {"run", std::to_string(end.run)},
+           {"worker", worker},
+           {"number", std::to_string(end.number)},
+           {"how", std::string(NameOf(kEndKindNames, end.how))},
+           {"task_phase", std::string(NameOf(kTaskPhaseNames, task->phase))},
+           {"current_run", std::to_string(task->run)},
+           {"current_worker", task->worker}},
+          Severity::kWarning);
+}
+
 void WorkerFleet::NoteRunning(const WorkerId& worker, View& view, const OrderReply& reply,
                               Micros now, Outbox& out) {
   for (const RunningTask& listed : reply.running) {
@@ -208,9 +227,11 @@
     Micros& again = view.strays[{listed.task, listed.run}];
     if (again > now) continue;
     again = now + kRetryPause;
-    out.Log("stray_run_stopped", {{"worker", worker},
-                                  {"task", FormatTask(listed.task)},
-                                  {"run", std::to_string(listed.run)}});
+    out.Log("stray_run_stopped",
+            {{"worker", worker},
+             {"task", FormatTask(listed.task)},
+             {"run", std::to_string(listed.run)}},
+            Severity::kWarning);
     SendStopOrder(worker, view, listed.task, listed.run, now, out);
   }
 }
@@ -241,12 +262,14 @@
   if (run.end_proposed) return;
   run.end_proposed = true;
   const EndKind how = kConclusionEnds.at(static_cast<std::size_t>(conclusion));
-  out.Log("run_concluded", {{"task", FormatTask(task)},
-                            {"run", std::to_string(run.run)},
-                            {"worker", worker},
-                            {"how", std::string(NameOf(kEndKindNames, how))},
-                            {"reason", std::string(NameOf(kConclusionNames, conclusion))},
-                            {"sends", std::to_string(run.sends)}});
+  out.Log("run_concluded",
+          {{"task", FormatTask(task)},
+           {"run", std::to_string(run.run)},
+           {"worker", worker},
+           {"how", std::string(NameOf(kEndKindNames, how))},
+           {"reason", std::string(NameOf(kConclusionNames, conclusion))},
+           {"sends", std::to_string(run.sends)}},
+          IsRoutine(conclusion) ? Severity::kInfo : Severity::kWarning);
   propose_(NoteEnd{.worker = worker,
                    .born_ms = view.born_ms,
                    .task = task,
@@ -258,6 +281,12 @@
 void WorkerFleet::Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out) {
   View* view = Find(worker);
   if (view == nullptr) return;
+  out.Log("worker_taken_down",
+          {{"worker", worker},
+           {"born_ms", std::to_string(view->born_ms)},
+           {"runs", std::to_string(view->runs.size())},
+           {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
+          view->runs.empty() ? Severity::kInfo : Severity::kWarning);
   ConcludeAll(worker, *view, Conclusion::kTakenDown, wall, out);
   view->leaving = true;
   view->left_at = now;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -14,6 +14,7 @@
 namespace godwitpaddle::jobs {
 
 enum class TaskPhase : std::uint8_t { kWaiting, kAssigned, kDone };
+inline constexpr EnumNames<3> kTaskPhaseNames = {"waiting", "assigned", "done"};
 
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
--- a/runtime/log.cc
+++ b/runtime/log.cc
@@ -52,28 +52,42 @@
   return google::GLOG_ERROR;
 }
 
-/// Lines that may leave within one second; what is beyond is counted.
+/// Lines that may leave within one second; what is beyond is counted. Warnings and errors have a
+/// budget of their own, so that routine lines cannot push them out.
 constexpr int kLinesPerSecond = 400;
 constexpr std::size_t kLongestLine = 4'096;  // a pipe that is writable takes this without waiting
 
 /// Writes lines to standard output.
 class OutputSink : public google::LogSink {
  public:
-  void send(google::LogSeverity /*severity*/, const char* /*file*/, const char* /*base*/,
-            int /*line*/, const google::LogMessageTime& /*time*/, const char* message,
+  void send(google::LogSeverity severity, const char* /*file*/, const char* /*base*/, int /*line*/,
+            const google::LogMessageTime& /*time*/, const char* message,
             std::size_t length) override {
     const std::lock_guard lock(mutex_);
     const Micros now = MonotonicNow();
     if (now - second_began_ >= kSecond) {
       second_began_ = now;
-      lines_ = 0;
-      if (dropped_ > 0) Write("event=log_lines_dropped count=" + std::to_string(dropped_));
-      dropped_ = 0;
+      for (Budget* budget : {&routine_, &warnings_}) StartSecond(*budget);
     }
-    if (++lines_ > kLinesPerSecond || !Write(std::string(message, length))) ++dropped_;
+    Budget& budget = severity == google::GLOG_INFO ? routine_ : warnings_;
+    if (++budget.lines > kLinesPerSecond || !Write(std::string(message, length))) ++budget.dropped;
   }
 
  private:
+  struct Budget {
+    std::string_view level;
+    int lines = 0;  // of this second
+    std::uint64_t dropped = 0;
+  };
+
+  static void StartSecond(Budget& budget) {
+    budget.lines = 0;
+    if (budget.dropped == 0) return;
+    Write("level=" + std::string(budget.level) +
+          " event=log_lines_dropped count=" + std::to_string(budget.dropped));
+    budget.dropped = 0;
+  }
+
   static bool Write(std::string line) {
     line.resize(std::min(line.size(), kLongestLine - 1));
     line += '\n';
@@ -84,8 +98,8 @@
 
   std::mutex mutex_;
   Micros second_began_ = 0;
-  int lines_ = 0;
-  std::uint64_t dropped_ = 0;
+  Budget routine_{.level = "info"};
+  Budget warnings_{.level = "warning"};
 };
 
 OutputSink* output_sink = nullptr;  // lives as long as the process
