Do not take a farewell for a proof that nothing runs any more

Callers saw a task run twice at a time. Cause: a worker that was said to have left, and did not answer one question, had its runs given up, at the latest 0.7 s later. A farewell names the worker only, not its incarnation, may come late, and a worker whose farewell is not answered goes on for some seconds. A heartbeat that was under way hid it again.

Price: tasks of a worker that really left wait for its lease.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -24,9 +24,10 @@
 constexpr std::int64_t kStopTimeoutMs = 500;
 constexpr std::int64_t kListTimeoutMs = 700;
 constexpr std::int64_t kHoldWaitMs = 1'000;
-/// A worker whose process has said goodbye is gone after this.
-constexpr Micros kLeaveGrace = 700 * kMillisecond;
+/// A worker that is probably gone is asked after this, and forgotten after some questions without
+/// an answer.
 constexpr Micros kLeaveProbe = 150 * kMillisecond;
+constexpr Micros kLeaveGrace = 2 * kSecond;
 constexpr Micros kForgetSilent = 15 * kSecond;
 /// Reports that may be missing before a worker gets no new tasks.
 constexpr int kMissedHeartbeats = 2;
@@ -145,7 +146,6 @@
   if (call.sequence < view->sequence) return false;
   view->sequence = call.sequence;
   view->last_heard = now;
-  view->leaving = false;
   NoteClock(*view, call.clock_ms, now);
   return true;
 }
@@ -167,9 +167,9 @@
 
 void WorkerFleet::OnLeave(const WorkerId& worker, Micros now) {
   View* view = Find(worker);
-  if (view == nullptr || view->leaving) return;
+  if (view == nullptr) return;
   view->leaving = true;
-  view->left_at = now;
+  view->left_at = now;  // an answer to an order of before says nothing
   view->hold_at = now + kLeaveProbe;
 }
 
@@ -409,18 +409,17 @@
             Severity::kWarning);
     ConcludeAll(worker, view, Conclusion::kLapsed, wall, out);
   }
-  if (view.leaving && now - view.left_at > kLeaveGrace) {
-    ConcludeAll(worker, view, Conclusion::kLeft, wall, out);
-  }
   const bool silent = now - view.last_heard > kForgetSilent;
-  if (view.runs.empty() && known.tasks.empty() && (silent || view.leaving)) {
+  const bool gone = view.leaving && now - view.left_at > kLeaveGrace;
+  if (view.runs.empty() && known.tasks.empty() && (silent || gone)) {
     propose_(ForgetWorker{.worker = worker, .born_ms = view.born_ms});
     view.last_heard = now;  // not proposed again at once
     return;
   }
   TickRuns(worker, view, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
-  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty();
+  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() ||
+                   view.leaving;  // whether it answers tells if it is still there
   const bool ends_pending = view.proposed_ends > known.noted_ends;
   if (due && !view.hold_out && !ends_pending && now >= view.hold_at) {
     SendHold(worker, view, now, out);
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -26,7 +26,8 @@
 ///
 /// A run counts as running until one of these shows that it is not: its end was listed; the worker
 /// answered a stop and a later list lacks it; the lease end that every call carried has passed on
-/// the worker's clock; another incarnation answers at the worker's id or address.
+/// the worker's clock; another incarnation answers at the worker's id or address; a newer worker
+/// reports from its VM. A farewell only makes it likely: it may be of an incarnation of before.
 class WorkerFleet {
  public:
   using Propose = std::function<void(Command)>;
@@ -61,7 +62,7 @@
   std::optional<Micros> RunTime(const TaskId& task, std::uint32_t run, Micros now) const;
   /// Starts that are not answered yet.
   std::size_t StartsUnderWay() const { return starts_under_way_; }
-  /// Whether the worker has left or its VM was taken down.
+  /// Whether the worker has left or its VM was taken down, as far as it has not answered since.
   bool IsLeaving(const WorkerId& worker) const;
   bool IsUsable(const WorkerId& worker, Micros now) const;
 
@@ -79,15 +80,14 @@
     kStopped,    // a stop was answered, and a later list lacks it
     kUnlisted,   // it was there, and a later list lacks it
     kLapsed,     // every lease has run out
-    kLeft,       // the worker has left
     kReplaced,   // another worker has its address
     kTakenDown,  // its VM was moved or maintained
   };
-  static constexpr EnumNames<8> kConclusionNames = {
-      "refused", "never_sent", "stopped", "unlisted", "lapsed", "left", "replaced", "taken_down"};
-  static constexpr std::array<EndKind, 8> kConclusionEnds = {
+  static constexpr EnumNames<7> kConclusionNames = {
+      "refused", "never_sent", "stopped", "unlisted", "lapsed", "replaced", "taken_down"};
+  static constexpr std::array<EndKind, 7> kConclusionEnds = {
       EndKind::kRefused, EndKind::kRefused, EndKind::kStopped, EndKind::kLost,
-      EndKind::kLost,    EndKind::kLost,    EndKind::kLost,    EndKind::kLost};
+      EndKind::kLost,    EndKind::kLost,    EndKind::kLost};
 
   /// Whether starts end so all the time, without a failure of the worker.
   static bool IsRoutine(Conclusion conclusion) {
@@ -120,7 +120,7 @@
     Micros lapse_at = 0;              // every lease has run out by then
     std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
     bool listed = false;              // its lists were read in this term
-    bool leaving = false;             // said goodbye
+    bool leaving = false;             // probably gone, its farewell, or its VM was taken down
     Micros left_at = 0;
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -151,7 +151,6 @@
   view.hold_out = false;
   if (reply.outcome != OrderOutcome::kDone) {
     view.hold_at = now + kRetryPause;
-    if (view.leaving) ConcludeAll(sent.worker, view, Conclusion::kLeft, wall, out);
     return;
   }
   view.hold_at = now + kHoldPause;
@@ -162,7 +161,11 @@
     propose_(NoteWorker{.record = std::move(record)});
     return;
   }
-  if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
+  if (view.leaving && sent.sent_at > view.left_at) {
+    view.leaving = false;
+    out.Log("worker_stays", {{"worker", sent.worker}, {"born_ms", std::to_string(view.born_ms)}},
+            Severity::kWarning);
+  }
   view.listed = true;
   view.confirmed = true;
   view.told_ends = std::max(view.told_ends, sent.noted_ends);
