Do not take an answer about a VM for a proof about the worker that is there now

Cause: the platform answers done also for an order that was done before. A leader had a VM maintained and was killed before that was noted; the next one gave the order again, 3 to 5 s later, heard done, gave up the runs of the worker that had come up meanwhile and forgot it, while it worked on.

Why it works: the answer only makes the worker probably gone (no tasks, no renewal, asked each 0.3 s). Its runs end when a newer worker reports from the VM, by a list, another incarnation, or the lapse of the lease. If it answers an order given since, it stays, and the maintenance or the move counts as done before at once. The same holds for moves.

--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -133,6 +133,8 @@
 /// A VM that is away is back when a worker that is newer than its maintenance reports from it; one
 /// of a pool that is off has none, and time tells.
 bool Maintenance::IsBack(const VmId& vm, const VmWork& work, Micros now) const {
+  // It has answered since, so that the order was done before, for an earlier worker.
+  if (state_.FindWorker(work.worker) != nullptr && !fleet_.IsLeaving(work.worker)) return true;
   const Micros away = now - work.since;
   const Micros announced = options_.maintenance_ms * kMillisecond;
   if (away < announced) return false;
@@ -170,7 +172,7 @@
   VmWork& work = found->second;
   if (outcome == VmOutcome::kDone) {
     propose_(NoteMaintained{.wave = work.wave, .vm = vm});
-    fleet_.Retire(work.worker, now, wall, out);
+    fleet_.ExpectGone(work.worker, now, out);
     work.step = VmStep::kAway;
     work.since = now;
     work.since_wall = wall;
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -65,9 +65,10 @@
 void PoolScaler::Settle(Micros now) {
   for (const auto& [id, worker] : state_.workers()) {
     const auto moving = moving_.find(worker.record.vm);
+    // One that stays was there already: the move was done before.
     if (moving != moving_.end() && moving->second.arrives != 0 &&
         worker.record.service == moving->second.to &&
-        worker.record.id != moving->second.from_worker) {
+        (worker.record.id != moving->second.from_worker || !fleet_.IsLeaving(id))) {
       desk_.Release(worker.record.vm);
       moving_.erase(moving);
     }
@@ -250,7 +251,7 @@
 }
 
 void PoolScaler::OnOutcome(const VmId& vm, const WorkerId& from_worker, VmOutcome outcome,
-                           Micros now, WallMs wall, Outbox& out) {
+                           Micros now, WallMs /*wall*/, Outbox& out) {
   const auto moving = moving_.find(vm);
   if (moving == moving_.end()) return;
   if (outcome != VmOutcome::kDone) {
@@ -260,7 +261,7 @@
   }
   parked_.erase(vm);
   moving->second.arrives = now + options_.move_ms * kMillisecond;
-  fleet_.Retire(from_worker, now, wall, out);
+  fleet_.ExpectGone(from_worker, now, out);
 }
 
 }  // namespace godwitpaddle::jobs
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -140,7 +140,7 @@
         view != nullptr && view->born_ms == call.record.born_ms && call.sequence < view->sequence;
     if (late) return false;
     propose_(NoteWorker{.record = call.record});
-    if (known == nullptr) RetireOthers(call.record, now, wall, out);
+    if (known == nullptr) ConcludeFormer(call.record, now, wall, out);
   }
   if (view == nullptr || view->born_ms != call.record.born_ms) return true;
   if (call.sequence < view->sequence) return false;
@@ -151,12 +151,15 @@
 }
 
 /// A VM has one worker at a time: a newer one shows that the others have ended.
-void WorkerFleet::RetireOthers(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out) {
+void WorkerFleet::ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out) {
   if (newest.vm.empty()) return;
   for (const auto& [id, worker] : state_.workers()) {
     const bool older =
         worker.record.vm == newest.vm && id != newest.id && worker.record.born_ms < newest.born_ms;
-    if (older && !IsLeaving(id)) Retire(id, now, wall, out);
+    View* view = older ? Find(id) : nullptr;
+    if (view == nullptr) continue;
+    ConcludeAll(id, *view, Conclusion::kSucceeded, wall, out);
+    ExpectGone(id, now, out);
   }
 }
 
@@ -173,6 +176,19 @@
   view->hold_at = now + kLeaveProbe;
 }
 
+void WorkerFleet::ExpectGone(const WorkerId& worker, Micros now, Outbox& out) {
+  const auto found = views_.find(worker);
+  if (found == views_.end()) return;
+  const View& view = found->second;
+  out.Log("worker_expected_gone",
+          {{"worker", worker},
+           {"born_ms", std::to_string(view.born_ms)},
+           {"runs", std::to_string(view.runs.size())},
+           {"heard_ms_ago", std::to_string((now - view.last_heard) / kMillisecond)}},
+          view.runs.empty() ? Severity::kInfo : Severity::kWarning);
+  OnLeave(worker, now);
+}
+
 std::vector<UsableWorker> WorkerFleet::UsableWorkers(Micros now) const {
   std::vector<UsableWorker> usable;
   auto view = views_.begin();
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -27,7 +27,8 @@
 /// A run counts as running until one of these shows that it is not: its end was listed; the worker
 /// answered a stop and a later list lacks it; the lease end that every call carried has passed on
 /// the worker's clock; another incarnation answers at the worker's id or address; a newer worker
-/// reports from its VM. A farewell only makes it likely: it may be of an incarnation of before.
+/// reports from its VM. A farewell, or the platform's word that the VM was taken down, only makes
+/// it likely: they may be about an incarnation or an order of before.
 class WorkerFleet {
  public:
   using Propose = std::function<void(Command)>;
@@ -51,8 +52,9 @@
   /// Ends the run early; it counts as running until that is certain.
   void Stop(const TaskId& task, Micros now, Outbox& out);
 
-  /// The worker's VM was taken down: nothing runs there any more.
-  void Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out);
+  /// The worker's VM was probably taken down: it gets no tasks and no longer lease until it answers
+  /// an order given after this.
+  void ExpectGone(const WorkerId& worker, Micros now, Outbox& out);
 
   /// Workers that may get tasks.
   std::vector<UsableWorker> UsableWorkers(Micros now) const;
@@ -81,10 +83,10 @@
     kUnlisted,   // it was there, and a later list lacks it
     kLapsed,     // every lease has run out
     kReplaced,   // another worker has its address
-    kTakenDown,  // its VM was moved or maintained
+    kSucceeded,  // a newer worker reports from its VM
   };
-  static constexpr EnumNames<7> kConclusionNames = {
-      "refused", "never_sent", "stopped", "unlisted", "lapsed", "replaced", "taken_down"};
+  static constexpr EnumNames<7> kConclusionNames = {"refused", "never_sent", "stopped",  "unlisted",
+                                                    "lapsed",  "replaced",   "succeeded"};
   static constexpr std::array<EndKind, 7> kConclusionEnds = {
       EndKind::kRefused, EndKind::kRefused, EndKind::kStopped, EndKind::kLost,
       EndKind::kLost,    EndKind::kLost,    EndKind::kLost};
@@ -120,7 +122,7 @@
     Micros lapse_at = 0;              // every lease has run out by then
     std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
     bool listed = false;              // its lists were read in this term
-    bool leaving = false;             // probably gone, its farewell, or its VM was taken down
+    bool leaving = false;             // probably gone, see ExpectGone
     Micros left_at = 0;
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
@@ -151,7 +153,7 @@
 
   View* Find(const WorkerId& worker);
   bool IsUsable(const View& view, const Worker& known, Micros now) const;
-  void RetireOthers(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
+  void ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
   /// The worker's clock showed at least this at that time.
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -281,20 +281,6 @@
                    .wall_ms = wall});
 }
 
-void WorkerFleet::Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out) {
-  View* view = Find(worker);
-  if (view == nullptr) return;
-  out.Log("worker_taken_down",
-          {{"worker", worker},
-           {"born_ms", std::to_string(view->born_ms)},
-           {"runs", std::to_string(view->runs.size())},
-           {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
-          view->runs.empty() ? Severity::kInfo : Severity::kWarning);
-  ConcludeAll(worker, *view, Conclusion::kTakenDown, wall, out);
-  view->leaving = true;
-  view->left_at = now;
-}
-
 void WorkerFleet::ConcludeAll(const WorkerId& worker, View& view, Conclusion conclusion,
                               WallMs wall, Outbox& out) {
   for (auto& [task, run] : view.runs) Conclude(worker, view, task, run, conclusion, wall, out);
