Count a VM as back from maintenance only when its worker has answered since

Cause: an incarnation that had restarted before the maintenance was noted after it, which cleared the mark of a worker that is probably gone; the VM counted as back. Now what counts is an order that was given after the platform's answer and was answered, for maintenance and for moves, and a new incarnation does not clear the mark.

--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -133,8 +133,8 @@
 /// A VM that is away is back when a worker that is newer than its maintenance reports from it; one
 /// of a pool that is off has none, and time tells.
 bool Maintenance::IsBack(const VmId& vm, const VmWork& work, Micros now) const {
-  // It has answered since, so that the order was done before, for an earlier worker.
-  if (state_.FindWorker(work.worker) != nullptr && !fleet_.IsLeaving(work.worker)) return true;
+  // A worker that stays: the order was done before, for an earlier one.
+  if (fleet_.AnsweredSince(work.worker, work.since)) return true;
   const Micros away = now - work.since;
   const Micros announced = options_.maintenance_ms * kMillisecond;
   if (away < announced) return false;
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -68,7 +68,8 @@
     // One that stays was there already: the move was done before.
     if (moving != moving_.end() && moving->second.arrives != 0 &&
         worker.record.service == moving->second.to &&
-        (worker.record.id != moving->second.from_worker || !fleet_.IsLeaving(id))) {
+        (worker.record.id != moving->second.from_worker ||
+         fleet_.AnsweredSince(id, moving->second.agreed))) {
       desk_.Release(worker.record.vm);
       moving_.erase(moving);
     }
@@ -260,6 +261,7 @@
     return;
   }
   parked_.erase(vm);
+  moving->second.agreed = now;
   moving->second.arrives = now + options_.move_ms * kMillisecond;
   fleet_.ExpectGone(from_worker, now, out);
 }
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -43,6 +43,7 @@
     std::string to;
     WorkerId from_worker;
     Micros ordered = 0;
+    Micros agreed = 0;   // when the platform said that it is done
     Micros arrives = 0;  // 0: the platform has not agreed yet
   };
 
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -82,7 +82,6 @@
   view.lease_end_ms = 0;
   view.listed = false;
   view.confirmed = false;
-  view.leaving = false;
   view.hold_at = now;
   view.proposed_ends = 0;
   view.told_ends = 0;
@@ -207,6 +206,11 @@
   return found != views_.end() && known != nullptr && IsUsable(found->second, *known, now);
 }
 
+bool WorkerFleet::AnsweredSince(const WorkerId& worker, Micros time) const {
+  const auto view = views_.find(worker);
+  return view != views_.end() && view->second.answered_at > time;
+}
+
 bool WorkerFleet::IsUsable(const View& view, const Worker& known, Micros now) const {
   const Micros silence = kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
   return known.record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -67,6 +67,8 @@
   /// Whether the worker has left or its VM was taken down, as far as it has not answered since.
   bool IsLeaving(const WorkerId& worker) const;
   bool IsUsable(const WorkerId& worker, Micros now) const;
+  /// Whether the worker has answered an order that was given after this time.
+  bool AnsweredSince(const WorkerId& worker, Micros time) const;
 
  private:
   enum class RunPhase : std::uint8_t {
@@ -122,6 +124,7 @@
     Micros lapse_at = 0;              // every lease has run out by then
     std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
     bool listed = false;              // its lists were read in this term
+    Micros answered_at = 0;           // when the newest order that was answered was given
     bool leaving = false;             // probably gone, see ExpectGone
     Micros left_at = 0;
     bool suspect = false;    // the last order was not answered
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -29,6 +29,7 @@
   const OrderReply& reply = event.reply;
   const bool answered =
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
+  if (answered) view->answered_at = std::max(view->answered_at, sent.sent_at);
   if (answered && IsFromAnother(sent, *view, reply)) {
     // What it has done shows in its lists; until then nothing is acknowledged or renewed.
     out.Log("worker_restarted",
