Stop the tasks of a cancelled job under the next leader too

Callers see tasks of a cancelled job run on when the leader that accepted the cancel is lost before its stops arrive: stops were sent only when the cancel took effect on a leader. Found while looking where else a run's fate hangs on one leader's memory.

Evidence: run_once_test, "a cancelled job is stopped by the next leader": workers cut off for 0.4 s, cancel acknowledged, leader killed; 4 s later tasks of 30 s still ran on two of three workers. With the fix none does: a new leader marks inherited runs of jobs that have ended to be stopped.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -59,7 +59,8 @@
     view.lapse_at = now + LeaseToLocal(view.first_lease_ms) + kLapseMargin;
     for (const TaskId& name : worker.tasks) {
       const Task& task = *state_.FindTask(name);
-      view.runs[name] = {.run = task.run, .stop_wanted = task.settled};
+      const bool unwanted = task.settled || !state_.FindJob(name.job)->active();
+      view.runs[name] = {.run = task.run, .stop_wanted = unwanted};
     }
   }
 }
--- a/tests/run_once_test.cc
+++ b/tests/run_once_test.cc
@@ -92,5 +92,29 @@
   }
 }
 
+// Guards against tasks of a cancelled job that go on for good, because the leader that was to stop
+// them is lost right after the cancel is durable.
+TEST_CASE("a cancelled job is stopped by the next leader") {
+  JobCluster cluster({});
+  StartUp(cluster, 3);
+  REQUIRE(cluster.Ask(cluster.edge(0), MakeJob(1, 6, 30'000)).code == AnswerCode::kOk);
+  REQUIRE(
+      cluster.RunUntilTrue([&] { return Runs(cluster.workers().at("worker-1")); }, 2 * kSecond));
+  SECTION("though the former one could not reach the workers") {
+    const std::size_t leader = *cluster.Leader();
+    for (const auto& [id, worker] : cluster.workers()) {
+      cluster.CutWorker(id, 400 * kMillisecond);
+    }
+    jobs::JobCall cancel{.kind = jobs::JobCallKind::kCancel,
+                         .host = "shop",
+                         .path = "/q/" + jobs::FormatJob(1),
+                         .key = "k1"};
+    REQUIRE(cluster.Ask(cluster.edge(0), cancel).code == AnswerCode::kOk);
+    cluster.Kill(leader);
+    cluster.RunFor(4 * kSecond);
+    for (const auto& [id, worker] : cluster.workers()) CHECK_FALSE(Runs(worker));
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
