Repeat no start on a worker that leaves

Now a start that is not answered yet is given up on a worker that leaves: it is stopped there, and starts elsewhere once that is certain. run_once_test, "a start is not repeated on a worker that leaves", failed before (started at once when the worker answered) and passes.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -255,7 +255,8 @@
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
-    if (view->confirmed) {
+    const bool ready = state_.FindWorker(assign->worker)->record.phase == WorkerPhase::kReady;
+    if (view->confirmed && ready) {
       SendStart(assign->worker, *view, assign->task, run, now, out);
     } else {
       Conclude(assign->worker, *view, assign->task, run, Conclusion::kNeverSent, wall, out);
@@ -442,7 +443,7 @@
     view.last_heard = now;  // not proposed again at once
     return;
   }
-  TickRuns(worker, view, now, out);
+  TickRuns(worker, view, known.record.phase == WorkerPhase::kReady, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
   const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() ||
                    view.leaving;  // whether it answers tells if it is still there
@@ -452,9 +453,12 @@
   }
 }
 
-void WorkerFleet::TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out) {
+void WorkerFleet::TickRuns(const WorkerId& worker, View& view, bool ready, Micros now,
+                           Outbox& out) {
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed) continue;
+    // A worker that leaves begins nothing more.
+    if (!ready && run.phase == RunPhase::kStarting && !run.start_out) run.stop_wanted = true;
     if (run.stop_wanted) {
       if (!run.stop_out && now >= run.stop_again_at) SendStop(worker, view, task, run, now, out);
     } else if (run.phase == RunPhase::kStarting && view.confirmed && !run.start_out &&
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -191,7 +191,7 @@
                    Outbox& out);
   void TickWorker(const WorkerId& worker, View& view, const Worker& known, Micros now, WallMs wall,
                   Outbox& out);
-  void TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out);
+  void TickRuns(const WorkerId& worker, View& view, bool ready, Micros now, Outbox& out);
   void CountEnd(View& view, EndKind how, Micros now);
   static void LogIncarnation(const WorkerRecord& record, const View& former, Outbox& out);
   void LogForgotten(const ForgetWorker& forget, Outbox& out) const;
--- a/tests/run_once_test.cc
+++ b/tests/run_once_test.cc
@@ -116,5 +116,31 @@
   }
 }
 
+// Guards against a start on a worker that has said that it is about to leave, and was told that
+// this is known: seen when starts without an answer were repeated there.
+TEST_CASE("a start is not repeated on a worker that leaves") {
+  JobCluster cluster({});
+  StartUp(cluster, 1);
+  SECTION("though it was assigned before") {
+    FakeWorker& worker = cluster.workers().at("worker-1");
+    cluster.CutWorker("worker-1", kSecond);
+    REQUIRE(cluster.Ask(cluster.edge(0), MakeJob(1, 2, 300)).code == AnswerCode::kOk);
+    cluster.RunFor(200 * kMillisecond);
+    worker.record().phase = jobs::WorkerPhase::kDraining;
+    const jobs::HeartbeatCall report{.record = worker.record(),
+                                     .sequence = ++worker.sequence,
+                                     .clock_ms = worker.Clock(cluster.now())};
+    REQUIRE(cluster.Ask(0, report).code == AnswerCode::kOk);
+    bool started = false;
+    cluster.RunUntilTrue([&] { return started = Runs(worker); }, 5 * kSecond);
+    CHECK_FALSE(started);
+    SECTION("and runs on the next one") {
+      cluster.AddWorker("print", {.cpu = 4'000});
+      CHECK(cluster.RunUntilTrue([&] { return Runs(cluster.workers().at("worker-2")); },
+                                 6 * kSecond));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
