Let the virtual cluster do what the platform's pages allow: a third kind of randomised run

Options of the cluster, all off in the kinds that exist (same seeds, same runs): answers that overtake each other, late heartbeats and farewells, workers that drain, say goodbye and go on for a while without an answer, workers replaced at their address, unhealthy workers, slow stops, refused connections, windows with 30% late orders, and a VM service that is late, busy, throttled or resets calls, with moves between two pools and one that is off. The run also checks that nothing is sent over a second after its job was shown as closed, and that a job shown as completed has all its tasks done.

--- a/tests/fake_worker.cc
+++ b/tests/fake_worker.cc
@@ -12,13 +12,17 @@
 
 void FakeWorker::Restart(std::int64_t born_ms, Micros now) {
   const jobs::WorkerRecord record = record_;
+  std::set<jobs::TaskId>* const done = done_tasks;
   *this = FakeWorker(record, now);
+  done_tasks = done;
+  record_.phase = jobs::WorkerPhase::kReady;
   record_.born_ms = born_ms;
 }
 
 void FakeWorker::End(const jobs::TaskId& task, jobs::EndKind how, Micros time) {
   const auto run = running_.find(task);
   end_times_[next_number_] = time;
+  if (how == jobs::EndKind::kDone && done_tasks != nullptr) done_tasks->insert(task);
   ended_.push_back({.number = next_number_++, .task = task, .run = run->second.run, .how = how});
   closed_[task] = std::max(closed_[task], run->second.run);
   running_.erase(run);
@@ -34,7 +38,8 @@
   for (const jobs::TaskId& task : due) {
     const Run& run = running_[task];
     if (lapsed && Clock(run.ends) > lease_end_ms_) continue;
-    End(task, run.fails || fails_all ? jobs::EndKind::kFailed : jobs::EndKind::kDone, run.ends);
+    const auto by_itself = run.fails || fails_all ? jobs::EndKind::kFailed : jobs::EndKind::kDone;
+    End(task, run.stopping ? jobs::EndKind::kStopped : by_itself, run.ends);
   }
   if (!lapsed) return;
   for (const jobs::EndedRun& end : ended_) lapsed_ends_.insert(end.number);
@@ -62,13 +67,21 @@
   if (const auto* stop = std::get_if<jobs::StopOrder>(&order)) {
     const auto run = running_.find(stop->task);
     if (run != running_.end() && run->second.run <= stop->run) {
-      End(stop->task, jobs::EndKind::kStopped, now);
+      Stop(stop->task, now);
     }
     closed_[stop->task] = std::max(closed_[stop->task], stop->run);
   }
   return {.outcome = jobs::OrderOutcome::kDone, .clock_ms = Clock(now)};
 }
 
+void FakeWorker::Stop(const jobs::TaskId& task, Micros now) {
+  if (stop_time == 0) return End(task, jobs::EndKind::kStopped, now);
+  Run& run = running_[task];
+  if (run.ends <= now + stop_time) return;  // it ends by itself before
+  run.ends = now + stop_time;
+  run.stopping = true;
+}
+
 jobs::OrderReply FakeWorker::Start(const jobs::StartOrder& order, jobs::Resources size,
                                    Micros duration, Micros now) {
   const auto run = running_.find(order.task);
--- a/tests/fake_worker.h
+++ b/tests/fake_worker.h
@@ -20,6 +20,7 @@
     std::uint32_t run = 0;
     Micros ends = 0;  // virtual time
     bool fails = false;
+    bool stopping = false;  // ends as stopped when its time has come
     jobs::Resources size;
   };
 
@@ -30,6 +31,9 @@
   bool alive = true;
   bool retired = false;  // its VM was taken down
   bool fails_all = false;
+  bool leaving = false;                          // drains, or has said goodbye
+  Micros stop_time = 0;                          // until a stopped run has ended
+  std::set<jobs::TaskId>* done_tasks = nullptr;  // gets tasks that end as done, when set
   std::uint64_t sequence = 0;
   double clock_rate = 1;
 
@@ -44,6 +48,8 @@
                          Micros duration, Micros now);
   const std::map<jobs::TaskId, Run>& running() const { return running_; }
   std::uint64_t acknowledged() const { return acknowledged_; }
+  /// Whether an order with this fencing token is obeyed.
+  bool Obeys(std::uint64_t token) const { return token >= token_; }
   const std::vector<jobs::EndedRun>& ended() const { return ended_; }
   /// Whether a lease ran out since this end, so that it does not count as noted any more.
   bool HasLapsedSince(std::uint64_t number) const { return lapsed_ends_.contains(number); }
@@ -54,6 +60,7 @@
  private:
   jobs::OrderReply Start(const jobs::StartOrder& order, jobs::Resources size, Micros duration,
                          Micros now);
+  void Stop(const jobs::TaskId& task, Micros now);
   jobs::OrderReply Hold(const jobs::HoldOrder& order, Micros now);
   jobs::OrderReply Refuse(jobs::RefusalReason reason, Micros now) const;
   void End(const jobs::TaskId& task, jobs::EndKind how, Micros time);
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -13,8 +13,9 @@
 constexpr Micros kEdgeTick = 50 * kMillisecond;
 constexpr Micros kHeartbeat = 1'500 * kMillisecond;
 constexpr Micros kMaintenance = 2 * kSecond;
+constexpr Micros kStopTime = 200 * kMillisecond;
 constexpr std::size_t kSeeds = 3;
-constexpr std::size_t kKeptLines = 4'000;
+constexpr std::size_t kKeptLines = 8'000;
 
 }  // namespace
 
@@ -80,14 +81,15 @@
   }
   if (node < options_.cores) {
     slot.core = std::make_unique<jobs::CoreNode>(
-        jobs::CoreNodeOptions{.node = Address(node),
-                              .zone = "zone-" + std::to_string(node % 3),
-                              .peer_address = Address(node),
-                              .seeds = seeds,
-                              .seed = seed,
-                              .leader = {.node = Address(node),
-                                         .fleet = {.lease_ms = 4'000, .stop_ms = 200},
-                                         .desk = {.holder = Address(node)}}},
+        jobs::CoreNodeOptions{
+            .node = Address(node),
+            .zone = "zone-" + std::to_string(node % 3),
+            .peer_address = Address(node),
+            .seeds = seeds,
+            .seed = seed,
+            .leader = {.node = Address(node),
+                       .fleet = {.lease_ms = 4'000, .stop_ms = kStopTime / kMillisecond},
+                       .desk = {.holder = Address(node)}}},
         slot.replica, slot.disk, now_);
   } else {
     slot.edge = std::make_unique<jobs::EdgeNode>(
@@ -212,7 +214,7 @@
     }
     if (line->event == "invariant_violated") Violate(text);
     log_.push_back(std::move(text));
-    if (log_.size() > kKeptLines) log_.erase(log_.begin());
+    if (log_.size() > kKeptLines) log_.pop_front();
   }
 }
 
@@ -249,6 +251,8 @@
                             .capacity = capacity};
   FakeWorker& worker = workers_.emplace(id, FakeWorker(std::move(record), now_)).first->second;
   worker.clock_rate = 0.98 + 0.02 * UniformUnit(rng_);
+  worker.done_tasks = &ended_done_;
+  vms_[worker.record().vm] = {.pool = service, .capacity = capacity, .worker = id};
   ScheduleHeartbeat(id);
   return worker;
 }
@@ -259,8 +263,14 @@
     FakeWorker& worker = found->second;
     const jobs::HeartbeatCall call{
         .record = worker.record(), .sequence = ++worker.sequence, .clock_ms = worker.Clock(now_)};
-    Call(
-        UniformBelow(rng_, options_.cores), call, [](const jobs::Answer&) {}, 900);
+    const auto send = [this, call] {
+      Call(
+          UniformBelow(rng_, options_.cores), call, [](const jobs::Answer&) {}, 900);
+    };
+    send();
+    if (options_.late_heartbeats > 0 && Chance(options_.late_heartbeats)) {
+      After(Between(kSecond, 10 * kSecond), send);
+    }
   }
   After(kHeartbeat, [this, id] { ScheduleHeartbeat(id); });
 }
@@ -284,48 +294,58 @@
 }
 
 void JobCluster::CarryOrder(std::size_t node, const jobs::OrderEffect& order) {
-  const std::uint64_t life = slots_[node].life;
   const auto timeout = order.timeout_ms * kMillisecond;
   const bool cut = cut_workers_[order.worker] > now_ || isolated_[node] > now_;
   const auto worker = workers_.find(order.worker);
   if (worker == workers_.end() || !worker->second.alive || cut) {
-    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+    return ReplyForGone(node, order, cut);
   }
   // An order that is on its way or waits within the worker's process ends with that process.
-  const std::int64_t born = worker->second.record().born_ms;
+  Carriage carriage{.node = node,
+                    .life = slots_[node].life,
+                    .order = order,
+                    .born = worker->second.record().born_ms,
+                    .sent = now_};
+  const auto unknown = [&] {
+    Reply(node, carriage.life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+  };
   if (Chance(options_.late_orders)) {
     const Micros late = (2 + static_cast<Micros>(UniformBelow(rng_, 10))) * kSecond;
-    After(late, [this, node, life, order, born] { Execute(node, life, order, born, false); });
-    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
-  }
-  const bool answered = !Chance(options_.lost_answers);
-  if (!answered) {
-    Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, timeout);
+    carriage.answered = false;
+    carriage.late = true;
+    After(late, [this, carriage] { Execute(carriage); });
+    return unknown();
   }
-  After(Delay(),
-        [this, node, life, order, born, answered] { Execute(node, life, order, born, answered); });
+  carriage.answered = !Chance(options_.lost_answers);
+  if (!carriage.answered) unknown();
+  After(Delay(), [this, carriage] { Execute(carriage); });
 }
 
-void JobCluster::Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
-                         std::int64_t born, bool answered) {
+void JobCluster::Execute(const Carriage& carriage) {
+  const jobs::OrderEffect& order = carriage.order;
   const auto found = workers_.find(order.worker);
   const bool gone = found == workers_.end() || !found->second.alive;
-  if (gone || found->second.record().born_ms != born) {
-    if (!answered) return;
-    return Reply(node, life, order.token, {.outcome = jobs::OrderOutcome::kUnknown}, Delay());
+  const bool outlives = carriage.late && options_.late_after_restart;
+  if (gone || (found->second.record().born_ms != carriage.born && !outlives)) {
+    if (!carriage.answered) return;
+    return Reply(carriage.node, carriage.life, order.token,
+                 {.outcome = jobs::OrderOutcome::kUnknown}, Delay());
   }
   FakeWorker& worker = found->second;
   jobs::Resources size;
   Micros duration = 300 * kMillisecond;
   const auto* start = std::get_if<jobs::StartOrder>(&order.order);
   if (start != nullptr) {
+    if (options_.unhealthy > 0 && Chance(options_.unhealthy)) {
+      return ReplyInTime(carriage, {.outcome = jobs::OrderOutcome::kUnhealthy});
+    }
     // The text of a test's job is "cpu duration_ms".
     const std::size_t blank = start->text.find(' ');
     size.cpu = std::stoll(start->text);
     duration = std::stoll(start->text.substr(blank + 1)) * kMillisecond;
   }
   const auto* hold = std::get_if<jobs::HoldOrder>(&order.order);
-  if (hold != nullptr) {
+  if (hold != nullptr && worker.Obeys(order.fencing_token)) {
     worker.Advance(now_);
     for (const jobs::EndedRun& end : worker.ended()) {
       if (end.number <= hold->noted_ends && end.how == jobs::EndKind::kDone &&
@@ -336,25 +356,24 @@
     }
   }
   const std::uint64_t acknowledged = worker.acknowledged();
+  if (options_.slow_stops) worker.stop_time = Between(1, kStopTime);
   const jobs::OrderReply reply =
       worker.Carry(order.order, order.fencing_token, size, duration, now_);
   const bool forgot = worker.acknowledged() > acknowledged;
   if (forgot && options_.power_loss_after_ack > 0 && Chance(options_.power_loss_after_ack)) {
     return LoseAllPower();
   }
-  if (start != nullptr && worker.started) CheckStart(worker, *start);
+  if (start != nullptr && worker.started) CheckStart(worker, carriage, *start);
   const bool waits = hold != nullptr && hold->wait_ms > 0 && reply.ended.empty();
-  if (waits && answered) {
+  if (waits && carriage.answered) {
     // Answers after a part of the wait, with the lists of that time.
-    After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, node, life, order, born] {
-      jobs::OrderEffect again = order;
-      std::get<jobs::HoldOrder>(again.order).wait_ms = 0;
-      std::get<jobs::HoldOrder>(again.order).until_ms.reset();
-      Execute(node, life, again, born, true);
-    });
+    Carriage again = carriage;
+    std::get<jobs::HoldOrder>(again.order.order).wait_ms = 0;
+    std::get<jobs::HoldOrder>(again.order.order).until_ms.reset();
+    After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, again] { Execute(again); });
     return;
   }
-  if (answered) Reply(node, life, order.token, reply, Delay());
+  ReplyInTime(carriage, reply);
 }
 
 void JobCluster::Reply(std::size_t node, std::uint64_t life, std::uint64_t token,
@@ -364,8 +383,12 @@
   });
 }
 
-void JobCluster::CheckStart(const FakeWorker& worker, const jobs::StartOrder& order) {
+void JobCluster::CheckStart(const FakeWorker& worker, const Carriage& carriage,
+                            const jobs::StartOrder& order) {
   const std::string task = jobs::FormatTask(order.task) + " run " + std::to_string(order.run);
+  const std::string late =
+      carriage.late ? ", sent at " + std::to_string(carriage.sent / kMillisecond) : "";
+  Log(worker.record().id + " starts " + task + late);
   for (auto& [id, other] : workers_) {
     if (&other == &worker || !other.alive) continue;
     other.Advance(now_);
@@ -376,10 +399,16 @@
     }
   }
   if (done_.contains(order.task)) Violate(task + " starts after its end was noted as done");
+  const auto closed = closed_jobs_.find(order.task.job);
+  if (closed != closed_jobs_.end() && carriage.sent > closed->second + kSecond) {
+    Violate(task + " is sent over a second after its job was shown as completed or cancelled");
+  }
   starts_[order.task][order.run] = now_;
 }
 
 void JobCluster::CheckNoted(const FakeWorker& worker, const jobs::EndedRun& end) {
+  Log(worker.record().id + " is told to forget that " + jobs::FormatTask(end.task) + " run " +
+      std::to_string(end.run) + " is done");
   for (const auto& [run, time] : starts_[end.task]) {
     if (run == end.run || time <= worker.EndTime(end.number)) continue;
     Violate(jobs::FormatTask(end.task) + " run " + std::to_string(end.run) + " on " +
@@ -389,6 +418,7 @@
 
 void JobCluster::CarryVmOrder(std::size_t node, const jobs::VmEffect& effect) {
   const std::uint64_t life = slots_[node].life;
+  if (options_.follows_vms) return Obey(node, life, effect, 0);
   jobs::VmReply reply{.outcome = jobs::VmOutcome::kDone};
   if (const auto* maintain = std::get_if<jobs::MaintainVm>(&effect.order)) {
     MaintainOnce(*maintain);
@@ -410,15 +440,8 @@
 }
 
 void JobCluster::MaintainOnce(const jobs::MaintainVm& order) {
-  if (!maintained_.emplace(order.wave, order.vm).second) return;  // done already
-  maintained.push_back(order.vm);
-  const auto bound = wave_bounds.find(order.wave);
-  if (bound != wave_bounds.end() && being_maintained_[order.wave] >= bound->second) {
-    Violate("maintenance of " + order.vm + " begins while " + std::to_string(bound->second) +
-            " VMs of its wave are down");
-  }
-  ++being_maintained_[order.wave];
-  After(kMaintenance, [this, wave = order.wave] { --being_maintained_[wave]; });
+  if (maintained_.contains({order.wave, order.vm})) return;  // done already
+  NoteMaintenance(order);
   for (auto& [id, worker] : workers_) {
     if (worker.record().vm != order.vm || worker.retired) continue;
     worker.alive = false;
@@ -429,6 +452,18 @@
   }
 }
 
+void JobCluster::NoteMaintenance(const jobs::MaintainVm& order) {
+  maintained_.emplace(order.wave, order.vm);
+  maintained.push_back(order.vm);
+  const auto bound = wave_bounds.find(order.wave);
+  if (bound != wave_bounds.end() && being_maintained_[order.wave] >= bound->second) {
+    Violate("maintenance of " + order.vm + " begins while " + std::to_string(bound->second) +
+            " VMs of its wave are down");
+  }
+  ++being_maintained_[order.wave];
+  After(kMaintenance, [this, wave = order.wave] { --being_maintained_[wave]; });
+}
+
 void JobCluster::LoseAllPower() {
   ++power_losses;
   log_.push_back(std::to_string(now_ / kMillisecond) + " all core nodes lose power");
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -2,6 +2,7 @@
 #define GODWITPADDLE_TESTS_JOB_CLUSTER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,22 @@
   double power_loss_after_ack = 0;      // of all core nodes, when a worker is told to forget ends
   double lost_vm_answers = 0;           // of the platform's answers; the order was carried out
   Micros sync_time = 2 * kMillisecond;  // of a disk, and up to max_delay more
+
+  // What the platform's pages allow beyond that; probabilities unless said otherwise.
+  double held_answers = 0;     // of workers, by up to 1.5 s, so that others overtake them
+  double unhealthy = 0;        // workers that answer a start with "unhealthy"
+  double late_heartbeats = 0;  // arrive once more, 1 to 10 s later
+  double late_farewells = 0;   // the same
+  double late_vm_answers = 0;  // after the call's time-out or close to it; carried out meanwhile
+  double throttled_vm_calls = 0;
+  double reset_vm_calls = 0;  // some of them carried out
+  /// VMs that are away or whose worker drains are busy, and those of pools that are off are listed.
+  bool follows_vms = false;
+  bool slow_stops = false;           // a stopped run goes on for up to the announced time
+  bool refused_connections = false;  // at the address of a worker that has ended
+  /// A late order outlives the worker's process: the next incarnation carries it out. The
+  /// platform's pages leave that open.
+  bool late_after_restart = false;
 };
 
 /// Nodes of job control in virtual time, over links, disks, workers and a platform that can fail.
@@ -79,6 +96,20 @@
   /// A new incarnation at the same id.
   void RestartWorker(const jobs::WorkerId& id);
   void CutWorker(const jobs::WorkerId& id, Micros duration);
+  /// It reports that it drains, serves for some seconds, says goodbye and ends: at once when that
+  /// was answered, else some seconds later. Its VM comes back with a new incarnation or a new
+  /// worker.
+  void DrainWorker(const jobs::WorkerId& id);
+  /// It crashes, and another worker joins on its VM, at its address.
+  void ReplaceWorker(const jobs::WorkerId& id, Micros away);
+  /// A VM of a pool that is off; only with follows_vms.
+  void AddParkedVm(const std::string& pool, jobs::Resources capacity);
+  /// A client was told that the job is cancelled or completed.
+  void NoteClosed(jobs::JobId job) { closed_jobs_.try_emplace(job, now_); }
+  /// Whether a run of the task has ended as done at some worker.
+  bool HasEndedDone(const jobs::TaskId& task);
+  std::uint64_t moved = 0;              // VMs, to other pools
+  std::set<std::string> off_pools;      // their VMs have no workers
   std::vector<std::string> maintained;  // VMs, in order
   /// Bounds of waves, checked at each maintenance.
   std::map<jobs::WaveId, std::size_t> wave_bounds;
@@ -86,7 +117,7 @@
 
   std::vector<std::string> violations;
   void Violate(std::string what);
-  const std::vector<std::string>& log() const { return log_; }
+  const std::deque<std::string>& log() const { return log_; }
   JobClusterOptions& options() { return options_; }
 
   static constexpr WallMs kWallStart = 1'700'000'000'000;
@@ -111,6 +142,25 @@
     }
   };
 
+  /// A VM as the platform sees it.
+  struct Vm {
+    std::string pool;
+    jobs::Resources capacity;
+    jobs::WorkerId worker;  // the newest
+    jobs::VmPhase phase = jobs::VmPhase::kUp;
+  };
+
+  /// An order on its way to a worker.
+  struct Carriage {
+    std::size_t node = 0;
+    std::uint64_t life = 0;
+    jobs::OrderEffect order;
+    std::int64_t born = 0;  // of the incarnation that was there
+    Micros sent = 0;
+    bool answered = true;
+    bool late = false;
+  };
+
   std::string Address(std::size_t node) const { return "node-" + std::to_string(node); }
   void Deliver(std::size_t node, std::uint64_t life, jobs::Event event);
   void Step(std::size_t node, const jobs::Event& event);
@@ -118,14 +168,33 @@
   void CarryOrder(std::size_t node, const jobs::OrderEffect& order);
   void CarryVmOrder(std::size_t node, const jobs::VmEffect& effect);
   void MaintainOnce(const jobs::MaintainVm& order);
+  void NoteMaintenance(const jobs::MaintainVm& order);
   /// Power comes back after half a second; what was not synced is gone, and so is what was on its
   /// way to the nodes.
   void LoseAllPower();
-  void Execute(std::size_t node, std::uint64_t life, const jobs::OrderEffect& order,
-               std::int64_t born, bool answered);
+  void Execute(const Carriage& carriage);
+  void ReplyInTime(const Carriage& carriage, jobs::OrderReply reply);
+  void ReplyForGone(std::size_t node, const jobs::OrderEffect& order, bool cut);
+  void Obey(std::size_t node, std::uint64_t life, const jobs::VmEffect& effect, Micros wait);
+  void AnswerVmOrder(std::size_t node, std::uint64_t life, std::uint64_t token, jobs::VmReply reply,
+                     Micros delay);
+  jobs::VmReply CarryOut(const jobs::VmOrder& order);
+  jobs::VmReply ListAll() const;
+  jobs::VmOutcome Move(const jobs::MoveVm& order);
+  jobs::VmOutcome Maintain(const jobs::MaintainVm& order);
+  bool IsBusy(const Vm& vm) const;
+  void TakeDown(const jobs::VmId& vm);
+  void SayGoodbye(const jobs::WorkerId& id, std::int64_t born);
+  void EndLeaving(const jobs::WorkerId& id, std::int64_t born);
+  Micros Between(Micros least, Micros most) {
+    return least +
+           static_cast<Micros>(UniformBelow(rng_, static_cast<std::uint64_t>(most - least)));
+  }
+  void Log(const std::string& text);
   void Reply(std::size_t node, std::uint64_t life, std::uint64_t token, jobs::OrderReply reply,
              Micros delay);
-  void CheckStart(const FakeWorker& worker, const jobs::StartOrder& order);
+  void CheckStart(const FakeWorker& worker, const Carriage& carriage,
+                  const jobs::StartOrder& order);
   /// An end that the worker is told to forget: nothing may have started since.
   void CheckNoted(const FakeWorker& worker, const jobs::EndedRun& end);
   void ScheduleTick(std::size_t node, std::uint64_t life);
@@ -143,14 +212,17 @@
   std::map<jobs::WorkerId, Micros> cut_workers_;
   std::set<std::pair<jobs::WaveId, jobs::VmId>> maintained_;
   std::map<jobs::WaveId, std::size_t> being_maintained_;
-  std::set<jobs::TaskId> done_;                                     // tasks with a noted end `done`
+  std::set<jobs::TaskId> done_;        // tasks with a noted end `done`
+  std::set<jobs::TaskId> ended_done_;  // tasks with any end `done`
+  std::map<jobs::JobId, Micros> closed_jobs_;
+  std::map<jobs::VmId, Vm> vms_;
   std::map<jobs::TaskId, std::map<std::uint32_t, Micros>> starts_;  // last start of each run
   Micros now_ = 0;
   std::uint64_t next_order_ = 0;
   std::uint64_t next_connection_ = 1;
   std::uint64_t next_worker_ = 1;
   std::priority_queue<Item, std::vector<Item>, std::greater<>> queue_;
-  std::vector<std::string> log_;
+  std::deque<std::string> log_;
 };
 
 }  // namespace godwitpaddle::testing
--- /dev/null
+++ b/tests/job_cluster_faults.cc
@@ -0,0 +1,241 @@
+#include <utility>
+#include <variant>
+
+#include "tests/job_cluster.h"
+
+// What the platform's pages allow workers and the VM service to do, beyond crashes and lost
+// answers.
+namespace godwitpaddle::testing {
+namespace {
+
+constexpr Micros kMove = 1'500 * kMillisecond;
+constexpr Micros kMaintenance = 2 * kSecond;
+constexpr Micros kVmTimeout = 2 * kSecond;  // of a call to the VM service
+constexpr Micros kVmAnswer = 5 * kMillisecond;
+constexpr Micros kLongestHold = 1'500 * kMillisecond;  // of an answer
+constexpr Micros kLeastDrain = 2 * kSecond;
+constexpr Micros kLongestDrain = 6 * kSecond;
+constexpr Micros kGoodbyeTimeout = kSecond;
+constexpr Micros kEndsAnyway = 5 * kSecond;  // after a farewell without an answer
+
+}  // namespace
+
+void JobCluster::Log(const std::string& text) {
+  log_.push_back(std::to_string(now_ / kMillisecond) + " " + text);
+}
+
+// ---- answers of workers ----
+
+/// An answer that is held up arrives after newer ones, or not before the call's time-out.
+void JobCluster::ReplyInTime(const Carriage& carriage, jobs::OrderReply reply) {
+  if (!carriage.answered) return;
+  Micros delay = Delay();
+  if (options_.held_answers > 0 && Chance(options_.held_answers)) {
+    delay += Between(1, kLongestHold);
+    const Micros timeout = carriage.sent + carriage.order.timeout_ms * kMillisecond - now_;
+    Reply(carriage.node, carriage.life, carriage.order.token,
+          {.outcome = jobs::OrderOutcome::kUnknown}, std::max<Micros>(timeout, 0));
+  }
+  Reply(carriage.node, carriage.life, carriage.order.token, std::move(reply), delay);
+}
+
+/// No process of that worker hears the order: nobody answers, the connection is refused, or another
+/// worker has the address.
+void JobCluster::ReplyForGone(std::size_t node, const jobs::OrderEffect& order, bool cut) {
+  jobs::OrderOutcome outcome = jobs::OrderOutcome::kUnknown;
+  if (options_.refused_connections && !cut) {
+    outcome = jobs::OrderOutcome::kNotSent;
+    for (const auto& [id, other] : workers_) {
+      if (id == order.worker || !other.alive || other.record().address != order.address) continue;
+      outcome = jobs::OrderOutcome::kOtherInstance;
+    }
+  }
+  const Micros delay =
+      outcome == jobs::OrderOutcome::kUnknown ? order.timeout_ms * kMillisecond : Delay();
+  Reply(node, slots_[node].life, order.token, {.outcome = outcome}, delay);
+}
+
+// ---- workers that leave or are replaced ----
+
+void JobCluster::DrainWorker(const jobs::WorkerId& id) {
+  FakeWorker& worker = workers_.at(id);
+  if (!worker.alive || worker.leaving) return;
+  worker.leaving = true;
+  worker.record().phase = jobs::WorkerPhase::kDraining;
+  Log(id + " drains");
+  After(Between(kLeastDrain, kLongestDrain),
+        [this, id, born = worker.record().born_ms] { SayGoodbye(id, born); });
+}
+
+void JobCluster::SayGoodbye(const jobs::WorkerId& id, std::int64_t born) {
+  const FakeWorker& worker = workers_.at(id);
+  if (!worker.alive || worker.record().born_ms != born) return;
+  const Micros later = Between(kSecond, kEndsAnyway);
+  if (cut_workers_[id] > now_) {
+    After(later, [this, id, born] { EndLeaving(id, born); });
+    return;
+  }
+  Log(id + " says goodbye");
+  const auto send = [this, id](OnAnswer done) {
+    Call(UniformBelow(rng_, options_.cores), jobs::LeaveCall{.worker = id}, std::move(done),
+         kGoodbyeTimeout / kMillisecond);
+  };
+  send([this, id, born, later](const jobs::Answer& answer) {
+    const bool heard = answer.code == jobs::AnswerCode::kOk;
+    After(heard ? Delay() : later, [this, id, born] { EndLeaving(id, born); });
+  });
+  if (options_.late_farewells > 0 && Chance(options_.late_farewells)) {
+    After(Between(kSecond, 10 * kSecond), [this, id, send] {
+      Log("a late farewell of " + id + " arrives");
+      send([](const jobs::Answer&) {});
+    });
+  }
+}
+
+void JobCluster::EndLeaving(const jobs::WorkerId& id, std::int64_t born) {
+  FakeWorker& worker = workers_.at(id);
+  if (!worker.alive || worker.record().born_ms != born) return;
+  worker.alive = false;
+  Log(id + " ended after its farewell");
+  const Micros away = Between(500 * kMillisecond, 3 * kSecond);
+  if (UniformBelow(rng_, 2) == 0) {
+    After(away, [this, id] { RestartWorker(id); });
+  } else {
+    ReplaceWorker(id, away);
+  }
+}
+
+void JobCluster::ReplaceWorker(const jobs::WorkerId& id, Micros away) {
+  FakeWorker& worker = workers_.at(id);
+  if (worker.retired) return;
+  worker.alive = false;
+  worker.retired = true;
+  const jobs::WorkerRecord old = worker.record();
+  vms_[old.vm].phase = jobs::VmPhase::kDown;
+  Log(id + " ended; another worker follows on " + old.vm);
+  After(away, [this, old] {
+    FakeWorker& next = AddWorker(old.service, old.capacity, old.vm);
+    next.record().address = old.address;
+    Log(next.record().id + " joins on " + old.vm + " at the address of " + old.id);
+  });
+}
+
+bool JobCluster::HasEndedDone(const jobs::TaskId& task) { return ended_done_.contains(task); }
+
+// ---- the VM service ----
+
+void JobCluster::AddParkedVm(const std::string& pool, jobs::Resources capacity) {
+  vms_["vm-parked-" + std::to_string(vms_.size())] = {.pool = pool, .capacity = capacity};
+}
+
+void JobCluster::Obey(std::size_t node, std::uint64_t life, const jobs::VmEffect& effect,
+                      Micros wait) {
+  using jobs::VmOutcome;
+  const auto answer = [&](jobs::VmReply reply, Micros delay) {
+    AnswerVmOrder(node, life, effect.token, std::move(reply), delay);
+  };
+  if (wait == 0 && Chance(options_.throttled_vm_calls)) {
+    return answer({.outcome = VmOutcome::kThrottled}, kVmAnswer);
+  }
+  if (wait == 0 && Chance(options_.reset_vm_calls)) {
+    const std::uint64_t kind = UniformBelow(rng_, 3);
+    if (kind == 2) CarryOut(effect.order);
+    return answer({.outcome = kind == 0 ? VmOutcome::kNotSent : VmOutcome::kUnknown}, kVmAnswer);
+  }
+  if (wait == 0 && Chance(options_.late_vm_answers)) {
+    // Carried out now and answered late, or carried out a moment later.
+    if (UniformBelow(rng_, 2) == 0) {
+      jobs::VmReply reply = CarryOut(effect.order);
+      const Micros delay = Between(100 * kMillisecond, kVmTimeout + kSecond);
+      if (delay >= kVmTimeout) reply = {.outcome = VmOutcome::kUnknown};
+      return answer(std::move(reply), std::min(delay, kVmTimeout));
+    }
+    const Micros moment = Between(kMillisecond, kVmTimeout);
+    return After(moment, [this, node, life, effect, moment] { Obey(node, life, effect, moment); });
+  }
+  jobs::VmReply reply = CarryOut(effect.order);
+  if (Chance(options_.lost_vm_answers)) {
+    return answer({.outcome = VmOutcome::kUnknown}, kVmTimeout - wait);
+  }
+  answer(std::move(reply), kVmAnswer);
+}
+
+void JobCluster::AnswerVmOrder(std::size_t node, std::uint64_t life, std::uint64_t token,
+                               jobs::VmReply reply, Micros delay) {
+  After(delay, [this, node, life, token, reply = std::move(reply)] {
+    Deliver(node, life, jobs::VmEvent{.token = token, .reply = reply});
+  });
+}
+
+jobs::VmReply JobCluster::CarryOut(const jobs::VmOrder& order) {
+  if (const auto* move = std::get_if<jobs::MoveVm>(&order)) return {.outcome = Move(*move)};
+  if (const auto* maintain = std::get_if<jobs::MaintainVm>(&order)) {
+    return {.outcome = Maintain(*maintain)};
+  }
+  return ListAll();
+}
+
+jobs::VmReply JobCluster::ListAll() const {
+  jobs::VmReply reply{.outcome = jobs::VmOutcome::kDone};
+  for (const auto& [name, vm] : vms_) {
+    reply.vms.push_back({.vm = name,
+                         .pool = vm.pool,
+                         .phase = vm.phase,
+                         .capacity = vm.capacity,
+                         .worker = vm.worker});
+  }
+  return reply;
+}
+
+bool JobCluster::IsBusy(const Vm& vm) const {
+  if (vm.phase != jobs::VmPhase::kUp) return true;
+  if (vm.worker.empty()) return false;  // its pool is off
+  const FakeWorker& worker = workers_.at(vm.worker);
+  return !worker.alive || worker.leaving;
+}
+
+void JobCluster::TakeDown(const jobs::VmId& vm) {
+  const jobs::WorkerId id = std::exchange(vms_.at(vm).worker, {});
+  if (id.empty()) return;
+  FakeWorker& worker = workers_.at(id);
+  worker.alive = false;
+  worker.retired = true;
+  Log(id + " is taken down with " + vm);
+}
+
+/// Also done when it was done before.
+jobs::VmOutcome JobCluster::Move(const jobs::MoveVm& order) {
+  const auto found = vms_.find(order.vm);
+  if (found == vms_.end()) return jobs::VmOutcome::kNoSuchVm;
+  Vm& vm = found->second;
+  if (vm.pool == order.pool) return jobs::VmOutcome::kDone;
+  if (IsBusy(vm)) return jobs::VmOutcome::kBusy;
+  ++moved;
+  TakeDown(order.vm);
+  vm.pool = order.pool;
+  vm.phase = jobs::VmPhase::kMoving;
+  After(kMove, [this, order] {
+    Vm& arrived = vms_.at(order.vm);
+    arrived.phase = jobs::VmPhase::kUp;
+    if (!off_pools.contains(order.pool)) AddWorker(order.pool, arrived.capacity, order.vm);
+  });
+  return jobs::VmOutcome::kDone;
+}
+
+jobs::VmOutcome JobCluster::Maintain(const jobs::MaintainVm& order) {
+  const auto found = vms_.find(order.vm);
+  if (found == vms_.end()) return jobs::VmOutcome::kNoSuchVm;
+  if (maintained_.contains({order.wave, order.vm})) return jobs::VmOutcome::kDone;
+  if (IsBusy(found->second)) return jobs::VmOutcome::kBusy;
+  NoteMaintenance(order);
+  TakeDown(order.vm);
+  found->second.phase = jobs::VmPhase::kMaintained;
+  After(kMaintenance, [this, name = order.vm] {
+    Vm& back = vms_.at(name);
+    back.phase = jobs::VmPhase::kUp;
+    if (!off_pools.contains(back.pool)) AddWorker(back.pool, back.capacity, name);
+  });
+  return jobs::VmOutcome::kDone;
+}
+
+}  // namespace godwitpaddle::testing
--- a/tests/job_soak.cc
+++ b/tests/job_soak.cc
@@ -6,19 +6,25 @@
 #include "tests/job_soak_run.h"
 
 // Runs seeded runs of job control: job_soak [--seed FIRST] [--seeds COUNT] [--steps N]
-// [--waves-and-power]. Exits 1 on a violation, after printing its seed and the nodes' last log
-// lines.
+// [--waves-and-power] [--full-platform] [--late-after-restart]. Exits 1 on a violation, after
+// printing its seed and the nodes' last log lines.
 int main(int argc, const char** argv) {
   int first = 1;
   int count = 1;
   int steps = 2'000;
   int waves_and_power = 0;
+  int full_platform = 0;
+  int late_after_restart = 0;
   const poptOption options[] = {
       {"seed", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
       {"seeds", 0, POPT_ARG_INT, &count, 0, "how many seeds", "N"},
       {"steps", 0, POPT_ARG_INT, &steps, 0, "actions of clients, operators and faults", "N"},
       {"waves-and-power", 0, POPT_ARG_NONE, &waves_and_power, 0,
        "with waves, and losses of power after acknowledgements", nullptr},
+      {"full-platform", 0, POPT_ARG_NONE, &full_platform, 0,
+       "with all that, and what else the platform's pages allow", nullptr},
+      {"late-after-restart", 0, POPT_ARG_NONE, &late_after_restart, 0,
+       "late orders outlive the worker's process", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   const poptContext context =
       poptGetContext(nullptr, argc, argv, static_cast<const poptOption*>(options), 0);
@@ -33,7 +39,9 @@
     const auto result =
         godwitpaddle::testing::RunJobSoak({.seed = static_cast<std::uint64_t>(seed),
                                            .steps = static_cast<std::uint64_t>(steps),
-                                           .waves_and_power = waves_and_power != 0});
+                                           .waves_and_power = waves_and_power != 0,
+                                           .full_platform = full_platform != 0,
+                                           .late_after_restart = late_after_restart != 0});
     std::cout << "seed=" << seed << " " << godwitpaddle::testing::JobSoakLine(result) << std::endl;
     if (result.violations.empty()) continue;
     ++failed;
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -1,7 +1,9 @@
 #include "tests/job_soak_run.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -22,6 +24,12 @@
 constexpr std::uint64_t kStepsPerWave = 400;
 constexpr Micros kSlowSync = 250 * kMillisecond;
 constexpr Micros kSlowDisks = 3 * kSecond;
+constexpr std::size_t kFirstCopyWorker = 5;  // of the second service, in a run of the third kind
+constexpr std::size_t kParkedVms = 3;
+constexpr std::uint64_t kStepsPerTurn = 70;  // the services take turns
+constexpr std::uint64_t kQuietSteps = 300;   // no wave begins at the end of a run of the third kind
+constexpr Micros kLongestWindow = 5 * kSecond;
+constexpr Micros kSettleTime = 40 * kSecond;
 
 /// What the clients were told of one job.
 struct Known {
@@ -36,17 +44,13 @@
  public:
   explicit Soak(const JobSoakOptions& options)
       : options_(options),
-        cluster_({.edges = 3,
-                  .seed = options.seed,
-                  .loss = 0.01,
-                  .lost_answers = 0.02,
-                  .late_orders = 0.01,
-                  .power_loss_after_ack = options.waves_and_power ? kPowerLossAfterAck : 0,
-                  .lost_vm_answers = options.waves_and_power ? kLostVmAnswers : 0}) {}
+        waves_and_power_(options.waves_and_power || options.full_platform),
+        cluster_(UsualFaults(options)) {}
 
   JobSoakResult Run();
 
  private:
+  static JobClusterOptions UsualFaults(const JobSoakOptions& options);
   std::uint64_t Draw(std::uint64_t bound) { return UniformBelow(cluster_.rng(), bound); }
   /// A job that is recent enough to be kept.
   jobs::JobId AnyJob() { return last_job_ - Draw(std::min(last_job_, kKeptJobs)); }
@@ -61,6 +65,12 @@
   void StartWave();
   void CheckWaves();
   void SlowDisks();
+  void BreakMore();
+  std::optional<jobs::WorkerId> AnyLiveWorker();
+  /// Changes options of the cluster for some seconds.
+  void OpenWindow(const std::function<void(JobClusterOptions&)>& change);
+  bool IsOfCopy(jobs::JobId job) const { return copies_.contains(job); }
+  void CheckShown(jobs::JobId job, const jobs::Answer& answer);
   void Break();
   void BreakNode();
   void BreakWorker();
@@ -72,6 +82,7 @@
   jobs::Configuration MakeConfiguration(std::uint64_t version) const;
 
   const JobSoakOptions options_;
+  const bool waves_and_power_;
   JobCluster cluster_;
   JobSoakResult result_;
   std::map<jobs::JobId, Known> known_;
@@ -80,8 +91,35 @@
   std::uint64_t acknowledged_version_ = 1;
   std::set<std::size_t> broken_;  // core nodes that are lost now
   jobs::WaveId last_wave_ = 0;
+  std::uint64_t step_ = 0;
+  std::set<jobs::JobId> copies_;  // jobs of the second service
+  bool healed_ = false;
 };
 
+JobClusterOptions Soak::UsualFaults(const JobSoakOptions& options) {
+  const bool waves_and_power = options.waves_and_power || options.full_platform;
+  JobClusterOptions faults{.edges = 3,
+                           .seed = options.seed,
+                           .loss = 0.01,
+                           .lost_answers = 0.02,
+                           .late_orders = 0.01,
+                           .power_loss_after_ack = waves_and_power ? kPowerLossAfterAck : 0,
+                           .lost_vm_answers = waves_and_power ? kLostVmAnswers : 0};
+  if (!options.full_platform) return faults;
+  faults.held_answers = 0.02;
+  faults.unhealthy = 0.01;
+  faults.late_heartbeats = 0.05;
+  faults.late_farewells = 0.7;
+  faults.late_vm_answers = 0.05;
+  faults.throttled_vm_calls = 0.03;
+  faults.reset_vm_calls = 0.03;
+  faults.follows_vms = true;
+  faults.slow_stops = true;
+  faults.refused_connections = true;
+  faults.late_after_restart = options.late_after_restart;
+  return faults;
+}
+
 jobs::Configuration Soak::MakeConfiguration(std::uint64_t version) const {
   jobs::Configuration configuration{.version = version};
   configuration.services = {{.name = "print"}};
@@ -95,12 +133,21 @@
                            .timeout_ms = 3'000}};
   configuration.teams = {{.name = "mill", .keys = {"k1"}}};
   configuration.document = std::to_string(version);
+  if (!options_.full_platform) return configuration;
+  configuration.services.push_back({.name = "copy"});
+  configuration.services.push_back({.name = "off", .standby = true});
+  jobs::Queue copies = configuration.queues.front();
+  copies.name = "copies";
+  copies.prefix = "/c/";
+  copies.service = "copy";
+  configuration.queues.push_back(std::move(copies));
   return configuration;
 }
 
 jobs::JobCall Soak::MakeCall(JobCallKind kind, jobs::JobId job) const {
   jobs::JobCall call{
       .kind = kind, .host = "shop", .path = "/q/" + jobs::FormatJob(job), .key = "k1"};
+  if (IsOfCopy(job)) call.path = "/c/" + jobs::FormatJob(job);
   if (kind != JobCallKind::kSubmit) return call;
   call.spec.text = "1000 " + std::to_string(100 + job % 7 * 150);
   call.spec.steps = {{.count = 1 + static_cast<std::uint32_t>(job % 4),
@@ -117,7 +164,14 @@
   while (cluster_.Ask(0, jobs::ConfigureCall{.configuration = MakeConfiguration(1)}).code !=
          AnswerCode::kOk) {
   }
-  for (std::size_t i = 0; i < kWorkers; ++i) cluster_.AddWorker("print", {.cpu = 6'000});
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    const bool copy = options_.full_platform && i >= kFirstCopyWorker;
+    cluster_.AddWorker(copy ? "copy" : "print", {.cpu = 6'000});
+  }
+  cluster_.off_pools = {"off"};
+  if (options_.full_platform) {
+    for (std::size_t i = 0; i < kParkedVms; ++i) cluster_.AddParkedVm("off", {.cpu = 6'000});
+  }
   cluster_.RunFor(2 * kSecond);
 }
 
@@ -143,7 +197,10 @@
 void Soak::Cancel(jobs::JobId job) {
   cluster_.Call(AnyEdge(), MakeCall(JobCallKind::kCancel, job), [this, job](const auto& answer) {
     Known& known = known_[job];
-    if (answer.code == AnswerCode::kOk) known.cancelled = true;
+    if (answer.code == AnswerCode::kOk) {
+      known.cancelled = true;
+      cluster_.NoteClosed(job);
+    }
     // It may have been cancelled all the same.
     if (answer.code == AnswerCode::kUnknown) known.cancelled = true;
   });
@@ -156,9 +213,25 @@
                   if (accepted && answer.code == AnswerCode::kGone) {
                     cluster_.Violate(jobs::FormatJob(job) + " was accepted and is gone");
                   }
+                  CheckShown(job, answer);
                 });
 }
 
+/// A job that is shown as completed has all its tasks done.
+void Soak::CheckShown(jobs::JobId job, const jobs::Answer& answer) {
+  if (answer.code != AnswerCode::kOk || answer.text != "completed") return;
+  cluster_.NoteClosed(job);
+  const auto& steps = MakeCall(JobCallKind::kSubmit, job).spec.steps;
+  for (std::uint32_t step = 0; step < steps.size(); ++step) {
+    for (std::uint32_t index = 0; index < steps[step].count; ++index) {
+      const jobs::TaskId task{job, 0, step, index};
+      if (cluster_.HasEndedDone(task)) continue;
+      cluster_.Violate(jobs::FormatJob(job) + " is shown as completed, and " +
+                       jobs::FormatTask(task) + " is not done");
+    }
+  }
+}
+
 void Soak::Configure() {
   const std::uint64_t version = last_version_ += 1 + Draw(3);
   const auto send = [this, version] {
@@ -266,8 +339,70 @@
   cluster_.After(kSlowDisks, [this, usual] { cluster_.options().sync_time = usual; });
 }
 
+std::optional<jobs::WorkerId> Soak::AnyLiveWorker() {
+  std::vector<jobs::WorkerId> live;
+  for (const auto& [id, worker] : cluster_.workers()) {
+    if (worker.alive) live.push_back(id);
+  }
+  if (live.empty()) return std::nullopt;
+  return live[Draw(live.size())];
+}
+
+void Soak::OpenWindow(const std::function<void(JobClusterOptions&)>& change) {
+  change(cluster_.options());
+  cluster_.After(kSecond + static_cast<Micros>(Draw(kLongestWindow)), [this] {
+    if (healed_) return;
+    const Micros sync_time = cluster_.options().sync_time;
+    cluster_.options() = UsualFaults(options_);
+    cluster_.options().sync_time = sync_time;
+  });
+}
+
+/// Faults of workers and of the VM service, in a run of the third kind.
+void Soak::BreakMore() {
+  ++result_.faults;
+  const auto worker = AnyLiveWorker();
+  const Micros time = 100 * kMillisecond + static_cast<Micros>(Draw(2 * kLongestFault));
+  switch (Draw(8)) {
+    case 0:
+      return OpenWindow([](JobClusterOptions& faults) { faults.late_orders = 0.3; });
+    case 1:
+      return OpenWindow([](JobClusterOptions& faults) {
+        faults.held_answers = 0.3;
+        faults.lost_answers = 0.2;
+      });
+    case 2:
+      return OpenWindow([](JobClusterOptions& faults) {
+        faults.late_vm_answers = 0.5;
+        faults.throttled_vm_calls = 0.2;
+        faults.reset_vm_calls = 0.3;
+        faults.lost_vm_answers = 0.3;
+      });
+    case 3:
+      return OpenWindow([](JobClusterOptions& faults) {
+        faults.unhealthy = 0.4;
+        faults.late_orders = 0.2;
+      });
+    case 4:
+      if (worker) cluster_.DrainWorker(*worker);
+      return;
+    case 5:
+      if (worker) cluster_.ReplaceWorker(*worker, time);
+      return;
+    case 6:
+      if (!worker) return;
+      // Back under its id at once or soon.
+      cluster_.CrashWorker(*worker);
+      cluster_.After(Draw(2) == 0 ? 1 : time, [this, id = *worker] { cluster_.RestartWorker(id); });
+      return;
+    default:
+      if (worker) cluster_.CutWorker(*worker, time);
+  }
+}
+
 void Soak::Break() {
-  if (options_.waves_and_power && Draw(6) == 0) return SlowDisks();
+  if (options_.full_platform && Draw(2) == 0) return BreakMore();
+  if (waves_and_power_ && Draw(6) == 0) return SlowDisks();
   if (Draw(3) == 0) {
     BreakNode();
   } else if (Draw(3) == 0) {
@@ -294,7 +429,9 @@
 void Soak::Act() {
   const std::uint64_t kind = Draw(100);
   if (kind < 45) {
-    Submit(++last_job_);
+    ++last_job_;
+    if (options_.full_platform && step_ / kStepsPerTurn % 2 == 1) copies_.insert(last_job_);
+    Submit(last_job_);
   } else if (kind < 55 && last_job_ > 0) {
     Submit(AnyJob());  // again
   } else if (kind < 62 && last_job_ > 0) {
@@ -313,6 +450,13 @@
 }
 
 void Soak::Heal() {
+  healed_ = true;
+  cluster_.options() = {.cores = cluster_.options().cores,
+                        .edges = cluster_.options().edges,
+                        .power_loss_after_ack = cluster_.options().power_loss_after_ack,
+                        .lost_vm_answers = cluster_.options().lost_vm_answers,
+                        .sync_time = cluster_.options().sync_time,
+                        .follows_vms = cluster_.options().follows_vms};
   cluster_.options().loss = 0;
   cluster_.options().late_orders = 0;
   cluster_.options().lost_answers = 0;
@@ -322,7 +466,7 @@
   for (auto& [id, worker] : cluster_.workers()) {
     if (!worker.alive) cluster_.RestartWorker(id);
   }
-  cluster_.RunFor(30 * kSecond);
+  cluster_.RunFor(options_.full_platform ? kSettleTime : 30 * kSecond);
 }
 
 void Soak::CheckEnd() {
@@ -339,7 +483,9 @@
     if (!known.accepted) continue;
     // Ended jobs may be forgotten after their time.
     if (cluster_.now() - known.accepted_at > 100 * kSecond) continue;
-    const std::string phase = cluster_.Ask(AnyEdge(), MakeCall(JobCallKind::kQuery, job)).text;
+    const jobs::Answer answer = cluster_.Ask(AnyEdge(), MakeCall(JobCallKind::kQuery, job));
+    CheckShown(job, answer);
+    const std::string& phase = answer.text;
     if (phase == "completed") ++result_.completed;
     if (phase == "cancelled" && known.cancelled) ++result_.cancelled;
     const bool good = phase == "completed" || (phase == "cancelled" && known.cancelled);
@@ -349,8 +495,10 @@
 
 JobSoakResult Soak::Run() {
   StartUp();
-  for (std::uint64_t step = 0; step < options_.steps && cluster_.violations.empty(); ++step) {
-    if (options_.waves_and_power && step % kStepsPerWave == kStepsPerWave / 2) StartWave();
+  for (; step_ < options_.steps && cluster_.violations.empty(); ++step_) {
+    const bool quiet = options_.full_platform && step_ + kQuietSteps > options_.steps;
+    const bool wave = step_ % kStepsPerWave == kStepsPerWave / 2;
+    if (waves_and_power_ && wave && !quiet) StartWave();
     Act();
   }
   if (cluster_.violations.empty()) Heal();
@@ -359,6 +507,7 @@
   result_.log = cluster_.log();
   result_.maintained = cluster_.maintained.size();
   result_.power_losses = cluster_.power_losses;
+  result_.moved = cluster_.moved;
   return result_;
 }
 
@@ -374,6 +523,7 @@
          " unknown=" + std::to_string(result.unknown) + " faults=" + std::to_string(result.faults) +
          " maintained=" + std::to_string(result.maintained) +
          " power_losses=" + std::to_string(result.power_losses) +
+         " moved=" + std::to_string(result.moved) +
          " violations=" + std::to_string(result.violations.size());
 }
 
