Let nothing that a former incarnation answered end a run whose start may still be carried out

Callers could see a task run twice: a start is not answered, its worker starts again under its id, and the start is carried out by the new incarnation, for which neither a stop answered before, nor a list of before, nor a lease end on the former clock means anything. The run was concluded as stopped, unlisted, or lapsed 3.6 s after the restart, while the copy held a lease of up to 10 s.

Now a new incarnation is asked to stop every run that has a copy without an answer, and only its answer, or the longest lease counted from the moment when it became known, ends the run. open_conclusion_test: four of its five cases failed before, the one on addresses is left. Whether a late order outlives the process is left open by the platform's pages; no play has shown it.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -92,6 +92,19 @@
   view.failures_in_row = 0;
   view.proven = false;
   view.strays.clear();
+  // A late copy of a start may give it the longest lease from now on.
+  view.lapse_at = now + LeaseToLocal(view.first_lease_ms) + kLapseMargin;
+  StopLateCopies(view);
+}
+
+/// What the former incarnation answered binds this one to nothing: it may carry out a start that
+/// was not answered, until it has answered a stop of that run.
+void WorkerFleet::StopLateCopies(View& view) {
+  for (auto& [task, run] : view.runs) {
+    run.stop_answered_at.reset();
+    run.stop_again_at = 0;
+    if (run.unanswered > 0 || run.start_out) run.stop_wanted = true;
+  }
 }
 
 // ---- clocks and leases ----
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -103,6 +103,7 @@
     RunPhase phase = RunPhase::kInherited;
     Micros started_at = 0;   // when it was answered or listed first
     int sends = 0;           // of the start
+    int unanswered = 0;      // of these, so that they may still be carried out
     bool start_out = false;  // a start is under way
     Micros resend_at = 0;
     bool stop_wanted = false;
@@ -158,6 +159,7 @@
   bool IsUsable(const View& view, const Worker& known, Micros now) const;
   void ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
+  static void StopLateCopies(View& view);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
   /// The worker's clock showed at least this at that time.
   static std::int64_t LeastClockAt(const View& view, Micros time);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -127,6 +127,7 @@
       refuse(kRetryPause);
       break;
     case OrderOutcome::kUnknown:
+      ++run.unanswered;
       break;
   }
   run.resend_at = now + kRetryPause;
@@ -249,8 +250,9 @@
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed || listed.contains(task)) continue;
     const bool stopped = run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
-    const bool gone =
-        run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
+    const bool late_copy = run.stop_wanted && run.unanswered > 0;
+    const bool gone = run.phase == RunPhase::kRunning && run.started_at < sent.sent_at &&
+                      !run.start_out && !late_copy;
     if (run.phase == RunPhase::kInherited) {
       // This list was answered under the new token, so the start can not be carried out any more.
       Conclude(sent.worker, view, task, run, Conclusion::kNeverSent, wall, out);
