Forget a worker at once when a newer one reports from its VM, and judge a VM by the worker that is there now

- A newer worker on the VM proves that the older ones have ended: their runs are concluded, they are not asked any more and are forgotten, also by the next leader, and a late report of one is ignored.
- An answer about a VM marks every worker on it.
The VM is back, and a move has arrived, when a worker there has answered an order that was given since.
- A new leader counts each VM whose maintenance has begun as away until its worker has answered, so that the bound of the wave holds.
- A task that was assigned to a worker which is probably gone is not sent.

run_once_test, "a worker is forgotten once a newer one reports from its VM", failed before and passes.

--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -25,10 +25,11 @@
   work_.clear();
   retry_at_.clear();
   FindWorkers();
-  // VMs whose maintenance an earlier leader began may still be away.
+  // VMs whose maintenance an earlier leader began may still be away, though their former worker is
+  // known.
   for (const auto& [id, wave] : state_.waves()) {
     for (const VmId& vm : wave.begun) {
-      if (WorkerOn(vm) == nullptr) {
+      if (!wave.completed() || WorkerOn(vm) == nullptr) {
         work_[vm] = {.wave = id, .step = VmStep::kAway, .since = now};
         desk_.Claim(vm);
       }
@@ -63,19 +64,14 @@
   const bool idle = work_.empty() && std::ranges::all_of(state_.waves(), [](const auto& entry) {
                       return entry.second.completed();
                     });
-  if (idle || !desk_.Open(now)) return;
+  if (idle) return;
   FindWorkers();
+  ReleaseReturned(now);
+  if (!desk_.Open(now)) return;
   for (const auto& [id, wave] : state_.waves()) {
     if (!wave.completed()) TickWave(id, wave, now);
   }
-  for (auto next = work_.begin(); next != work_.end();) {
-    auto current = next++;
-    TickVm(current->first, current->second, now, out);
-    if (current->second.step == VmStep::kAway && IsBack(current->first, current->second, now)) {
-      desk_.Release(current->first);
-      work_.erase(current);
-    }
-  }
+  for (auto& [vm, work] : work_) TickVm(vm, work, now, out);
 }
 
 void Maintenance::TickWave(WaveId id, const Wave& wave, Micros now) {
@@ -130,19 +126,24 @@
   return worker == nullptr || worker->tasks.empty();
 }
 
-/// A VM that is away is back when a worker that is newer than its maintenance reports from it; one
-/// of a pool that is off has none, and time tells.
+/// A VM that is away is back when its worker, a new one or one that stayed, has answered an order
+/// given since; one of a pool that is off has none, and time tells.
 bool Maintenance::IsBack(const VmId& vm, const VmWork& work, Micros now) const {
-  // A worker that stays: the order was done before, for an earlier one.
-  if (fleet_.AnsweredSince(work.worker, work.since)) return true;
+  const Worker* worker = WorkerOn(vm);
+  if (worker != nullptr && fleet_.AnsweredSince(worker->record.id, work.since)) return true;
   const Micros away = now - work.since;
   const Micros announced = options_.maintenance_ms * kMillisecond;
-  if (away < announced) return false;
   if (work.worker.empty() && away > announced + kParkedMargin) return true;
-  if (away > kAwayFactor * announced) return true;
-  const Worker* worker = WorkerOn(vm);
-  return worker != nullptr && worker->record.id != work.worker &&
-         worker->record.born_ms > work.since_wall;
+  return away > kAwayFactor * announced;
+}
+
+void Maintenance::ReleaseReturned(Micros now) {
+  std::erase_if(work_, [&](const auto& entry) {
+    const auto& [vm, work] = entry;
+    const bool back = work.step == VmStep::kAway && IsBack(vm, work, now);
+    if (back) desk_.Release(vm);
+    return back;
+  });
 }
 
 void Maintenance::TickVm(const VmId& vm, VmWork& work, Micros now, Outbox& out) {
@@ -172,10 +173,9 @@
   VmWork& work = found->second;
   if (outcome == VmOutcome::kDone) {
     propose_(NoteMaintained{.wave = work.wave, .vm = vm});
-    fleet_.ExpectGone(work.worker, now, out);
+    fleet_.ExpectVmGone(vm, now, out);
     work.step = VmStep::kAway;
     work.since = now;
-    work.since_wall = wall;
   } else if (outcome == VmOutcome::kNoSuchVm || outcome == VmOutcome::kNotInWave) {
     propose_(NoteMaintained{.wave = work.wave, .vm = vm});
     desk_.Release(vm);
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -47,9 +47,8 @@
   struct VmWork {
     WaveId wave = 0;
     VmStep step = VmStep::kEmptying;
-    WorkerId worker;  // that ran there; empty when the VM had none
-    Micros since = 0;
-    WallMs since_wall = 0;  // when the maintenance was agreed to
+    WorkerId worker;   // that ran there; empty when the VM had none
+    Micros since = 0;  // of the step
   };
 
   void TickWave(WaveId id, const Wave& wave, Micros now);
@@ -58,6 +57,7 @@
   void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, WallMs wall, Outbox& out);
   bool IsEmpty(const VmWork& work) const;
   bool IsBack(const VmId& vm, const VmWork& work, Micros now) const;
+  void ReleaseReturned(Micros now);
   void MoveLastingTasks(const WorkerId& worker, Micros now, Outbox& out);
   bool MayTakeAway(const TaskId& task) const;
   /// Reads anew which worker runs on each VM; what it found is valid until the state changes.
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -65,11 +65,10 @@
 void PoolScaler::Settle(Micros now) {
   for (const auto& [id, worker] : state_.workers()) {
     const auto moving = moving_.find(worker.record.vm);
-    // One that stays was there already: the move was done before.
+    // A new one, or one that stays because the move was done before.
     if (moving != moving_.end() && moving->second.arrives != 0 &&
         worker.record.service == moving->second.to &&
-        (worker.record.id != moving->second.from_worker ||
-         fleet_.AnsweredSince(id, moving->second.agreed))) {
+        fleet_.AnsweredSince(id, moving->second.agreed)) {
       desk_.Release(worker.record.vm);
       moving_.erase(moving);
     }
@@ -233,26 +232,22 @@
 }
 
 void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
-  WorkerId from_worker;
-  for (const auto& [id, worker] : state_.workers()) {
-    if (worker.record.vm != move.vm || fleet_.IsLeaving(id)) continue;
-    if (!worker.tasks.empty()) return;  // once it is empty
-    from_worker = id;
-  }
+  const bool busy = std::ranges::any_of(state_.workers(), [&](const auto& entry) {
+    return entry.second.record.vm == move.vm && !entry.second.tasks.empty();
+  });
+  if (busy) return;  // once it is empty
   emptying_.erase(move.vm);
-  moving_[move.vm] = {.to = move.to, .from_worker = from_worker, .ordered = now};
+  moving_[move.vm] = {.to = move.to, .ordered = now};
   out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
   out.Count("vm_moves_total");
   desk_.Claim(move.vm);
   desk_.Order(move.vm, MoveVm{.vm = move.vm, .pool = move.to},
-              [this, vm = move.vm, from_worker](VmOutcome outcome, Micros then, WallMs wall,
-                                                Outbox& reply) {
-                OnOutcome(vm, from_worker, outcome, then, wall, reply);
+              [this, vm = move.vm](VmOutcome outcome, Micros then, WallMs /*wall*/, Outbox& reply) {
+                OnOutcome(vm, outcome, then, reply);
               });
 }
 
-void PoolScaler::OnOutcome(const VmId& vm, const WorkerId& from_worker, VmOutcome outcome,
-                           Micros now, WallMs /*wall*/, Outbox& out) {
+void PoolScaler::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out) {
   const auto moving = moving_.find(vm);
   if (moving == moving_.end()) return;
   if (outcome != VmOutcome::kDone) {
@@ -263,7 +258,7 @@
   parked_.erase(vm);
   moving->second.agreed = now;
   moving->second.arrives = now + options_.move_ms * kMillisecond;
-  fleet_.ExpectGone(from_worker, now, out);
+  fleet_.ExpectVmGone(vm, now, out);
 }
 
 }  // namespace godwitpaddle::jobs
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -41,7 +41,6 @@
  private:
   struct Moving {
     std::string to;
-    WorkerId from_worker;
     Micros ordered = 0;
     Micros agreed = 0;   // when the platform said that it is done
     Micros arrives = 0;  // 0: the platform has not agreed yet
@@ -59,8 +58,7 @@
   void AddLastingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void Settle(Micros now);
   void Start(const PoolMove& move, Micros now, Outbox& out);
-  void OnOutcome(const VmId& vm, const WorkerId& from_worker, VmOutcome outcome, Micros now,
-                 WallMs wall, Outbox& out);
+  void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out);
   bool HasLastingTask(const Worker& worker) const;
 
   PoolScalerOptions options_;
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -62,6 +62,7 @@
       const bool unwanted = task.settled || !state_.FindJob(name.job)->active();
       view.runs[name] = {.run = task.run, .stop_wanted = unwanted};
     }
+    if (HasSuccessor(worker.record)) MarkGone(view);
   }
 }
 
@@ -150,13 +151,14 @@
 bool WorkerFleet::OnHeartbeat(const HeartbeatCall& call, Micros now, WallMs wall, Outbox& out) {
   const Worker* known = state_.FindWorker(call.record.id);
   if (known != nullptr && call.record.born_ms < known->record.born_ms) return false;
+  if (known == nullptr && HasSuccessor(call.record)) return false;  // late, its worker has ended
   View* view = Find(call.record.id);
   if (known == nullptr || !(known->record == call.record)) {
     const bool late =
         view != nullptr && view->born_ms == call.record.born_ms && call.sequence < view->sequence;
     if (late) return false;
     propose_(NoteWorker{.record = call.record});
-    if (known == nullptr) ConcludeFormer(call.record, now, wall, out);
+    if (known == nullptr) ConcludeFormer(call.record, wall, out);
   }
   if (view == nullptr || view->born_ms != call.record.born_ms) return true;
   if (call.sequence < view->sequence) return false;
@@ -167,18 +169,32 @@
 }
 
 /// A VM has one worker at a time: a newer one shows that the others have ended.
-void WorkerFleet::ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out) {
+void WorkerFleet::ConcludeFormer(const WorkerRecord& newest, WallMs wall, Outbox& out) {
   if (newest.vm.empty()) return;
   for (const auto& [id, worker] : state_.workers()) {
     const bool older =
         worker.record.vm == newest.vm && id != newest.id && worker.record.born_ms < newest.born_ms;
     View* view = older ? Find(id) : nullptr;
     if (view == nullptr) continue;
+    MarkGone(*view);
     ConcludeAll(id, *view, Conclusion::kSucceeded, wall, out);
-    ExpectGone(id, now, out);
   }
 }
 
+void WorkerFleet::MarkGone(View& view) {
+  view.gone = true;
+  view.leaving = true;
+}
+
+bool WorkerFleet::HasSuccessor(const WorkerRecord& record) const {
+  if (record.vm.empty()) return false;
+  return std::ranges::any_of(state_.workers(), [&](const auto& entry) {
+    const WorkerRecord& other = entry.second.record;
+    return other.vm == record.vm && other.id != record.id && other.born_ms > record.born_ms &&
+           !IsLeaving(other.id);
+  });
+}
+
 bool WorkerFleet::IsLeaving(const WorkerId& worker) const {
   const auto view = views_.find(worker);
   return view != views_.end() && view->second.leaving;
@@ -186,23 +202,27 @@
 
 void WorkerFleet::OnLeave(const WorkerId& worker, Micros now) {
   View* view = Find(worker);
-  if (view == nullptr) return;
+  if (view == nullptr || view->gone) return;
+  if (!view->leaving) view->leaving_since = now;
   view->leaving = true;
   view->left_at = now;  // an answer to an order of before says nothing
   view->hold_at = now + kLeaveProbe;
 }
 
-void WorkerFleet::ExpectGone(const WorkerId& worker, Micros now, Outbox& out) {
-  const auto found = views_.find(worker);
-  if (found == views_.end()) return;
-  const View& view = found->second;
-  out.Log("worker_expected_gone",
-          {{"worker", worker},
-           {"born_ms", std::to_string(view.born_ms)},
-           {"runs", std::to_string(view.runs.size())},
-           {"heard_ms_ago", std::to_string((now - view.last_heard) / kMillisecond)}},
-          view.runs.empty() ? Severity::kInfo : Severity::kWarning);
-  OnLeave(worker, now);
+void WorkerFleet::ExpectVmGone(const VmId& vm, Micros now, Outbox& out) {
+  for (const auto& [id, worker] : state_.workers()) {
+    const auto view = views_.find(id);
+    if (worker.record.vm != vm || view == views_.end() || view->second.gone) continue;
+    const View& last = view->second;
+    out.Log("worker_expected_gone",
+            {{"worker", id},
+             {"vm", vm},
+             {"born_ms", std::to_string(last.born_ms)},
+             {"runs", std::to_string(last.runs.size())},
+             {"heard_ms_ago", std::to_string((now - last.last_heard) / kMillisecond)}},
+            last.runs.empty() ? Severity::kInfo : Severity::kWarning);
+    OnLeave(id, now);
+  }
 }
 
 std::vector<UsableWorker> WorkerFleet::UsableWorkers(Micros now) const {
@@ -269,7 +289,7 @@
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
     const bool ready = state_.FindWorker(assign->worker)->record.phase == WorkerPhase::kReady;
-    if (view->confirmed && ready) {
+    if (view->confirmed && ready && !view->leaving) {
       SendStart(assign->worker, *view, assign->task, run, now, out);
     } else {
       Conclude(assign->worker, *view, assign->task, run, Conclusion::kNeverSent, wall, out);
@@ -459,18 +479,22 @@
     ConcludeAll(worker, view, Conclusion::kLapsed, wall, out);
   }
   const bool silent = now - view.last_heard > kForgetSilent;
-  const bool gone = view.leaving && now - view.left_at > kLeaveGrace;
-  if (view.runs.empty() && known.tasks.empty() && (silent || gone)) {
+  const bool left = view.leaving && now - view.leaving_since > kLeaveGrace;
+  if (view.gone && !view.runs.empty()) {
+    ConcludeAll(worker, view, Conclusion::kSucceeded, wall, out);
+  }
+  if (view.runs.empty() && known.tasks.empty() && (silent || left || view.gone)) {
     propose_(ForgetWorker{.worker = worker, .born_ms = view.born_ms});
     view.last_heard = now;  // not proposed again at once
     return;
   }
   TickRuns(worker, view, known.record.phase == WorkerPhase::kReady, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
-  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() ||
-                   view.leaving;  // whether it answers tells if it is still there
+  // Of a worker that is probably gone, whether it answers tells if it is still there.
+  const bool due =
+      !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() || view.leaving;
   const bool ends_pending = view.proposed_ends > known.noted_ends;
-  if (due && !view.hold_out && !ends_pending && now >= view.hold_at) {
+  if (due && !view.gone && !view.hold_out && !ends_pending && now >= view.hold_at) {
     SendHold(worker, view, now, out);
   }
 }
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -52,9 +52,9 @@
   /// Ends the run early; it counts as running until that is certain.
   void Stop(const TaskId& task, Micros now, Outbox& out);
 
-  /// The worker's VM was probably taken down: it gets no tasks and no longer lease until it answers
+  /// The VM was probably taken down: its workers get no tasks and no longer lease until they answer
   /// an order given after this.
-  void ExpectGone(const WorkerId& worker, Micros now, Outbox& out);
+  void ExpectVmGone(const VmId& vm, Micros now, Outbox& out);
 
   /// Workers that may get tasks.
   std::vector<UsableWorker> UsableWorkers(Micros now) const;
@@ -126,8 +126,10 @@
     std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
     bool listed = false;              // its lists were read in this term
     Micros answered_at = 0;           // when the newest order that was answered was given
-    bool leaving = false;             // probably gone, see ExpectGone
-    Micros left_at = 0;
+    bool leaving = false;             // probably gone, see ExpectVmGone
+    Micros left_at = 0;               // when that was said last
+    Micros leaving_since = 0;
+    bool gone = false;       // a newer worker reports from its VM
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
     bool hold_out = false;
@@ -158,7 +160,10 @@
 
   View* Find(const WorkerId& worker);
   bool IsUsable(const View& view, const Worker& known, Micros now) const;
-  void ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
+  void ConcludeFormer(const WorkerRecord& newest, WallMs wall, Outbox& out);
+  static void MarkGone(View& view);
+  /// Whether a worker that is there, as far as is known, is newer than this one on its VM.
+  bool HasSuccessor(const WorkerRecord& record) const;
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
   static void StopLateCopies(View& view);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
--- a/tests/run_conclusion_test.cc
+++ b/tests/run_conclusion_test.cc
@@ -388,7 +388,7 @@
   if (by_farewell) {
     test.fleet.OnLeave(kWorker, test.now);
   } else {
-    test.fleet.ExpectGone(kWorker, test.now, test.out);  // an answer about its VM
+    test.fleet.ExpectVmGone(test.worker().vm, test.now, test.out);  // an answer about its VM
   }
   CHECK(test.Counts(test.task));
   CHECK_FALSE(test.fleet.IsUsable(kWorker, test.now));
--- a/tests/run_once_test.cc
+++ b/tests/run_once_test.cc
@@ -142,5 +142,27 @@
   }
 }
 
+// Guards against workers that have ended and stay known: moves and maintenance of their VM then
+// look at the wrong worker.
+TEST_CASE("a worker is forgotten once a newer one reports from its VM") {
+  JobCluster cluster({});
+  StartUp(cluster, 3);
+  const jobs::HeartbeatCall late{
+      .record = cluster.workers().at("worker-1").record(), .sequence = 100, .clock_ms = 5'000};
+  const auto knows = [&](const jobs::WorkerId& id) {
+    return cluster.state(*cluster.Leader()).FindWorker(id) != nullptr;
+  };
+  const jobs::StartWave wave{.wave = 1, .vms = {"vm-1"}, .duration_ms = 60'000, .max_down = 1};
+  REQUIRE(cluster.Ask(0, jobs::WaveCall{.wave = wave}).code == AnswerCode::kOk);
+  REQUIRE(cluster.RunUntilTrue([&] { return knows("worker-4"); }, 10 * kSecond));
+  cluster.RunFor(200 * kMillisecond);
+  CHECK_FALSE(knows("worker-1"));
+  SECTION("and a late report does not bring it back") {
+    REQUIRE(cluster.Ask(0, late).code == AnswerCode::kOk);
+    cluster.RunFor(200 * kMillisecond);
+    CHECK_FALSE(knows("worker-1"));
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
