--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -49,8 +49,7 @@
       out.Log("worker_silent",
               {{"worker", sent.worker},
                {"outcome", std::string(NameOf(kOrderOutcomeNames, reply.outcome))},
-               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
-              Severity::kWarning);
+               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}});
     }
     view->suspect = true;
     view->confirmed = false;
@@ -206,7 +205,7 @@
 
 void WorkerFleet::LogFormerEnd(const WorkerId& worker, const EndedRun& end, Outbox& out) const {
   const Task* task = state_.FindTask(end.task);
-  if (task == nullptr || (task->phase == TaskPhase::kDone && task->run == end.run)) return;
+  if (task == nullptr || end.number <= state_.FindWorker(worker)->noted_ends) return;
   out.Log("former_run_ended",
           {{"task", FormatTask(end.task)},
            {"run", std::to_string(end.run)},
