--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -52,9 +52,9 @@
   /// Ends the run early; it counts as running until that is certain.
   void Stop(const TaskId& task, Micros now, Outbox& out);
 
-  /// The worker's VM was probably taken down: it gets no tasks and no longer lease until it answers
+  /// The VM was probably taken down: its workers get no tasks and no longer lease until they answer
   /// an order given after this.
-  void ExpectGone(const WorkerId& worker, Micros now, Outbox& out);
+  void ExpectVmGone(const VmId& vm, Micros now, Outbox& out);
 
   /// Workers that may get tasks.
   std::vector<UsableWorker> UsableWorkers(Micros now) const;
@@ -103,6 +103,7 @@
     RunPhase phase = RunPhase::kInherited;
     Micros started_at = 0;   // when it was answered or listed first
     int sends = 0;           // of the start
+    int unanswered = 0;      // of these, so that they may still be carried out
     bool start_out = false;  // a start is under way
     Micros resend_at = 0;
     bool stop_wanted = false;
@@ -125,8 +126,10 @@
     std::int64_t first_lease_ms = 0;  // it may hold one from before its clock was known
     bool listed = false;              // its lists were read in this term
     Micros answered_at = 0;           // when the newest order that was answered was given
-    bool leaving = false;             // probably gone, see ExpectGone
-    Micros left_at = 0;
+    bool leaving = false;             // probably gone, see ExpectVmGone
+    Micros left_at = 0;               // when that was said last
+    Micros leaving_since = 0;
+    bool gone = false;       // a newer worker reports from its VM
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
     bool hold_out = false;
@@ -146,6 +149,7 @@
 
   struct Sent {
     WorkerId worker;
+    std::string address;
     std::int64_t born_ms = 0;
     OrderKind kind = OrderKind::kHold;
     TaskId task;                   // of a start or a stop
@@ -156,8 +160,12 @@
 
   View* Find(const WorkerId& worker);
   bool IsUsable(const View& view, const Worker& known, Micros now) const;
-  void ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out);
+  void ConcludeFormer(const WorkerRecord& newest, WallMs wall, Outbox& out);
+  static void MarkGone(View& view);
+  /// Whether a worker that is there, as far as is known, is newer than this one on its VM.
+  bool HasSuccessor(const WorkerRecord& record) const;
   void ResetIncarnation(View& view, const WorkerRecord& record, Micros now);
+  static void StopLateCopies(View& view);
   void NoteClock(View& view, std::int64_t clock_ms, Micros now);
   /// The worker's clock showed at least this at that time.
   static std::int64_t LeastClockAt(const View& view, Micros time);
@@ -191,8 +199,10 @@
                    Outbox& out);
   void TickWorker(const WorkerId& worker, View& view, const Worker& known, Micros now, WallMs wall,
                   Outbox& out);
-  void TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out);
+  void TickRuns(const WorkerId& worker, View& view, bool ready, Micros now, Outbox& out);
   void CountEnd(View& view, EndKind how, Micros now);
+  /// Stops runs of the step whose tasks a former run has settled.
+  void StopSettled(const TaskId& id, Micros now, Outbox& out);
   static void LogIncarnation(const WorkerRecord& record, const View& former, Outbox& out);
   void LogForgotten(const ForgetWorker& forget, Outbox& out) const;
   /// An end that is not the one of the run which the task has now: what the task is at then.
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -49,8 +49,7 @@
       out.Log("worker_silent",
               {{"worker", sent.worker},
                {"outcome", std::string(NameOf(kOrderOutcomeNames, reply.outcome))},
-               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
-              Severity::kWarning);
+               {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}});
     }
     view->suspect = true;
     view->confirmed = false;
@@ -59,8 +58,12 @@
     view->suspect = false;
     out.Log("worker_answers", {{"worker", sent.worker}});
   }
-  if (reply.outcome == OrderOutcome::kOtherInstance && sent.born_ms == view->born_ms) {
-    out.Log("worker_replaced", {{"worker", sent.worker}}, Severity::kWarning);
+  const Worker* known = state_.FindWorker(sent.worker);
+  const bool of_present =
+      sent.born_ms == view->born_ms && known != nullptr && sent.address == known->record.address;
+  if (reply.outcome == OrderOutcome::kOtherInstance && of_present) {
+    out.Log("worker_replaced", {{"worker", sent.worker}, {"address", sent.address}},
+            Severity::kWarning);
     ConcludeAll(sent.worker, *view, Conclusion::kReplaced, wall, out);
     view->leaving = true;
     view->left_at = now;
@@ -127,6 +130,7 @@
       refuse(kRetryPause);
       break;
     case OrderOutcome::kUnknown:
+      ++run.unanswered;
       break;
   }
   run.resend_at = now + kRetryPause;
@@ -201,7 +205,7 @@
 
 void WorkerFleet::LogFormerEnd(const WorkerId& worker, const EndedRun& end, Outbox& out) const {
   const Task* task = state_.FindTask(end.task);
-  if (task == nullptr || (task->phase == TaskPhase::kDone && task->run == end.run)) return;
+  if (task == nullptr || end.number <= state_.FindWorker(worker)->noted_ends) return;
   out.Log("former_run_ended",
           {{"task", FormatTask(end.task)},
            {"run", std::to_string(end.run)},
@@ -249,8 +253,9 @@
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed || listed.contains(task)) continue;
     const bool stopped = run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
-    const bool gone =
-        run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
+    const bool late_copy = run.stop_wanted && run.unanswered > 0;
+    const bool gone = run.phase == RunPhase::kRunning && run.started_at < sent.sent_at &&
+                      !run.start_out && !late_copy;
     if (run.phase == RunPhase::kInherited) {
       // This list was answered under the new token, so the start can not be carried out any more.
       Conclude(sent.worker, view, task, run, Conclusion::kNeverSent, wall, out);
--- a/tests/run_once_test.cc
+++ b/tests/run_once_test.cc
@@ -92,5 +92,77 @@
   }
 }
 
+// Guards against tasks of a cancelled job that go on for good, because the leader that was to stop
+// them is lost right after the cancel is durable.
+TEST_CASE("a cancelled job is stopped by the next leader") {
+  JobCluster cluster({});
+  StartUp(cluster, 3);
+  REQUIRE(cluster.Ask(cluster.edge(0), MakeJob(1, 6, 30'000)).code == AnswerCode::kOk);
+  REQUIRE(
+      cluster.RunUntilTrue([&] { return Runs(cluster.workers().at("worker-1")); }, 2 * kSecond));
+  SECTION("though the former one could not reach the workers") {
+    const std::size_t leader = *cluster.Leader();
+    for (const auto& [id, worker] : cluster.workers()) {
+      cluster.CutWorker(id, 400 * kMillisecond);
+    }
+    jobs::JobCall cancel{.kind = jobs::JobCallKind::kCancel,
+                         .host = "shop",
+                         .path = "/q/" + jobs::FormatJob(1),
+                         .key = "k1"};
+    REQUIRE(cluster.Ask(cluster.edge(0), cancel).code == AnswerCode::kOk);
+    cluster.Kill(leader);
+    cluster.RunFor(4 * kSecond);
+    for (const auto& [id, worker] : cluster.workers()) CHECK_FALSE(Runs(worker));
+  }
+}
+
+// Guards against a start on a worker that has said that it is about to leave, and was told that
+// this is known: seen when starts without an answer were repeated there.
+TEST_CASE("a start is not repeated on a worker that leaves") {
+  JobCluster cluster({});
+  StartUp(cluster, 1);
+  SECTION("though it was assigned before") {
+    FakeWorker& worker = cluster.workers().at("worker-1");
+    cluster.CutWorker("worker-1", kSecond);
+    REQUIRE(cluster.Ask(cluster.edge(0), MakeJob(1, 2, 300)).code == AnswerCode::kOk);
+    cluster.RunFor(200 * kMillisecond);
+    worker.record().phase = jobs::WorkerPhase::kDraining;
+    const jobs::HeartbeatCall report{.record = worker.record(),
+                                     .sequence = ++worker.sequence,
+                                     .clock_ms = worker.Clock(cluster.now())};
+    REQUIRE(cluster.Ask(0, report).code == AnswerCode::kOk);
+    bool started = false;
+    cluster.RunUntilTrue([&] { return started = Runs(worker); }, 5 * kSecond);
+    CHECK_FALSE(started);
+    SECTION("and runs on the next one") {
+      cluster.AddWorker("print", {.cpu = 4'000});
+      CHECK(cluster.RunUntilTrue([&] { return Runs(cluster.workers().at("worker-2")); },
+                                 6 * kSecond));
+    }
+  }
+}
+
+// Guards against workers that have ended and stay known: moves and maintenance of their VM then
+// look at the wrong worker.
+TEST_CASE("a worker is forgotten once a newer one reports from its VM") {
+  JobCluster cluster({});
+  StartUp(cluster, 3);
+  const jobs::HeartbeatCall late{
+      .record = cluster.workers().at("worker-1").record(), .sequence = 100, .clock_ms = 5'000};
+  const auto knows = [&](const jobs::WorkerId& id) {
+    return cluster.state(*cluster.Leader()).FindWorker(id) != nullptr;
+  };
+  const jobs::StartWave wave{.wave = 1, .vms = {"vm-1"}, .duration_ms = 60'000, .max_down = 1};
+  REQUIRE(cluster.Ask(0, jobs::WaveCall{.wave = wave}).code == AnswerCode::kOk);
+  REQUIRE(cluster.RunUntilTrue([&] { return knows("worker-4"); }, 10 * kSecond));
+  cluster.RunFor(200 * kMillisecond);
+  CHECK_FALSE(knows("worker-1"));
+  SECTION("and a late report does not bring it back") {
+    REQUIRE(cluster.Ask(0, late).code == AnswerCode::kOk);
+    cluster.RunFor(200 * kMillisecond);
+    CHECK_FALSE(knows("worker-1"));
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
