Start nothing on an incarnation that has not reported itself

Work could be sent to a worker of another kind or service (ROUTE, LIMIT): an incarnation that is first seen in an answer to a hold was noted with the record of the former one, and got tasks after one list, up to 1.5 s before its own report. Found by review. Now it is noted as leaving until it reports. incarnation_test, "an incarnation that is known by its list only gets no tasks", failed before.

--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -163,6 +163,8 @@
   if (reply.born_ms > view.born_ms) {
     WorkerRecord record = state_.FindWorker(sent.worker)->record;
     record.born_ms = reply.born_ms;
+    // It may be of another kind and service: nothing starts there before it has reported itself.
+    record.phase = WorkerPhase::kDraining;
     propose_(NoteWorker{.record = std::move(record)});
     return;
   }
--- a/tests/incarnation_test.cc
+++ b/tests/incarnation_test.cc
@@ -61,6 +61,25 @@
   }
 }
 
+// Guards against starts on a worker that may be of another kind and service than the one before.
+TEST_CASE("an incarnation that is known by its list only gets no tasks") {
+  OneWorker test;
+  test.StartAndList();
+  test.Silence();
+  const OrderEffect hold = test.NextHold();
+  WorkerLife& present = test.Restart(kWorker);
+  test.Answer(hold, test.MakeLists(present));
+  REQUIRE(test.state.FindWorker(kWorker)->record.born_ms == present.born_ms);
+  test.silent.clear();
+  test.Wait(kSecond);
+  CHECK(test.fleet.UsableWorkers(test.now).empty());
+  SECTION("until it reports itself") {
+    test.Report(present);
+    test.Wait(kSecond);
+    CHECK(test.fleet.UsableWorkers(test.now).size() == 1);
+  }
+}
+
 // Guards against an answer of another worker at an address that the worker no longer has.
 TEST_CASE("another worker at a former address") {
   OneWorker test;
