Take an answer to a hold without its lists for unreadable, not for empty

An answer without a body, or without one of its lists, was read as lists that are empty, so that every run of the worker was given up as not listed.

--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -280,9 +280,9 @@
 
 void FleetProcess::Impl::SendOrder(const jobs::OrderEffect& effect) {
   HttpTransfer transfer = platform::EncodeOrder(effect);
-  transfer.done = [this, token = effect.token](const HttpResult& result) {
+  transfer.done = [this, token = effect.token, order = effect.order](const HttpResult& result) {
     driver->mailbox().ForcePush(
-        jobs::OrderEvent{.token = token, .reply = platform::DecodeOrderReply(result)});
+        jobs::OrderEvent{.token = token, .reply = platform::DecodeOrderReply(order, result)});
   };
   client->mailbox().Push(std::move(transfer));
 }
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -106,7 +106,7 @@
   CHECK_THAT(transfer.body, Catch::Contains("\"5c0e7a21d94b36f8.0.1.17\""));
   CHECK(transfer.headers.at("Godwitpaddle-Expected-Instance") == "i-1");
   const auto outcome = [&](TransferEnd end, int status, const std::string& body) {
-    return DecodeOrderReply({.end = end, .status = status, .body = body}).outcome;
+    return DecodeOrderReply(start, {.end = end, .status = status, .body = body}).outcome;
   };
   CHECK(outcome(TransferEnd::kAnswered, 200, R"({"clock_ms":1})") == jobs::OrderOutcome::kDone);
   CHECK(outcome(TransferEnd::kNotSent, 0, "") == jobs::OrderOutcome::kNotSent);
@@ -115,6 +115,7 @@
   CHECK(outcome(TransferEnd::kAnswered, 421, "") == jobs::OrderOutcome::kOtherInstance);
   SECTION("the lists of a hold are read whole or not at all") {
     const auto reply = DecodeOrderReply(
+        jobs::HoldOrder{},
         {.end = TransferEnd::kAnswered,
          .status = 200,
          .body = R"({"clock_ms":3,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,7]],
@@ -125,8 +126,15 @@
     REQUIRE(reply.ended.size() == 1);
     CHECK(reply.ended[0].how == jobs::EndKind::kDone);
     const auto odd = DecodeOrderReply(
+        jobs::HoldOrder{},
         {.end = TransferEnd::kAnswered, .status = 200, .body = R"({"running":[["x",2]]})"});
     CHECK(odd.outcome == jobs::OrderOutcome::kUnknown);
+    // Lists that are missing would say that nothing runs there any more.
+    for (const char* body : {"", R"({"clock_ms":3,"born":9})", R"({"born":9,"running":[]})"}) {
+      INFO(body);
+      const HttpResult result{.end = TransferEnd::kAnswered, .status = 200, .body = body};
+      CHECK(DecodeOrderReply(jobs::HoldOrder{}, result).outcome == jobs::OrderOutcome::kUnknown);
+    }
   }
 }
 
