--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -370,6 +370,8 @@
     Carriage again = carriage;
     std::get<jobs::HoldOrder>(again.order.order).wait_ms = 0;
     std::get<jobs::HoldOrder>(again.order.order).until_ms.reset();
+    // Ends are forgotten when the order arrives, not again when it is answered.
+    if (options_.follows_vms) std::get<jobs::HoldOrder>(again.order.order).noted_ends = 0;
     After(std::min<Micros>(hold->wait_ms, 100) * kMillisecond, [this, again] { Execute(again); });
     return;
   }
