--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -24,9 +24,10 @@
 constexpr std::int64_t kStopTimeoutMs = 500;
 constexpr std::int64_t kListTimeoutMs = 700;
 constexpr std::int64_t kHoldWaitMs = 1'000;
-/// A worker whose process has said goodbye is gone after this.
-constexpr Micros kLeaveGrace = 700 * kMillisecond;
+/// A worker that is probably gone is asked after this, and forgotten after some questions without
+/// an answer.
 constexpr Micros kLeaveProbe = 150 * kMillisecond;
+constexpr Micros kLeaveGrace = 2 * kSecond;
 constexpr Micros kForgetSilent = 15 * kSecond;
 /// Reports that may be missing before a worker gets no new tasks.
 constexpr int kMissedHeartbeats = 2;
@@ -81,7 +82,6 @@
   view.lease_end_ms = 0;
   view.listed = false;
   view.confirmed = false;
-  view.leaving = false;
   view.hold_at = now;
   view.proposed_ends = 0;
   view.told_ends = 0;
@@ -139,24 +139,26 @@
         view != nullptr && view->born_ms == call.record.born_ms && call.sequence < view->sequence;
     if (late) return false;
     propose_(NoteWorker{.record = call.record});
-    if (known == nullptr) RetireOthers(call.record, now, wall, out);
+    if (known == nullptr) ConcludeFormer(call.record, now, wall, out);
   }
   if (view == nullptr || view->born_ms != call.record.born_ms) return true;
   if (call.sequence < view->sequence) return false;
   view->sequence = call.sequence;
   view->last_heard = now;
-  view->leaving = false;
   NoteClock(*view, call.clock_ms, now);
   return true;
 }
 
 /// A VM has one worker at a time: a newer one shows that the others have ended.
-void WorkerFleet::RetireOthers(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out) {
+void WorkerFleet::ConcludeFormer(const WorkerRecord& newest, Micros now, WallMs wall, Outbox& out) {
   if (newest.vm.empty()) return;
   for (const auto& [id, worker] : state_.workers()) {
     const bool older =
         worker.record.vm == newest.vm && id != newest.id && worker.record.born_ms < newest.born_ms;
-    if (older && !IsLeaving(id)) Retire(id, now, wall, out);
+    View* view = older ? Find(id) : nullptr;
+    if (view == nullptr) continue;
+    ConcludeAll(id, *view, Conclusion::kSucceeded, wall, out);
+    ExpectGone(id, now, out);
   }
 }
 
@@ -167,12 +169,25 @@
 
 void WorkerFleet::OnLeave(const WorkerId& worker, Micros now) {
   View* view = Find(worker);
-  if (view == nullptr || view->leaving) return;
+  if (view == nullptr) return;
   view->leaving = true;
-  view->left_at = now;
+  view->left_at = now;  // an answer to an order of before says nothing
   view->hold_at = now + kLeaveProbe;
 }
 
+void WorkerFleet::ExpectGone(const WorkerId& worker, Micros now, Outbox& out) {
+  const auto found = views_.find(worker);
+  if (found == views_.end()) return;
+  const View& view = found->second;
+  out.Log("worker_expected_gone",
+          {{"worker", worker},
+           {"born_ms", std::to_string(view.born_ms)},
+           {"runs", std::to_string(view.runs.size())},
+           {"heard_ms_ago", std::to_string((now - view.last_heard) / kMillisecond)}},
+          view.runs.empty() ? Severity::kInfo : Severity::kWarning);
+  OnLeave(worker, now);
+}
+
 std::vector<UsableWorker> WorkerFleet::UsableWorkers(Micros now) const {
   std::vector<UsableWorker> usable;
   auto view = views_.begin();
@@ -191,6 +206,11 @@
   return found != views_.end() && known != nullptr && IsUsable(found->second, *known, now);
 }
 
+bool WorkerFleet::AnsweredSince(const WorkerId& worker, Micros time) const {
+  const auto view = views_.find(worker);
+  return view != views_.end() && view->second.answered_at > time;
+}
+
 bool WorkerFleet::IsUsable(const View& view, const Worker& known, Micros now) const {
   const Micros silence = kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
   return known.record.phase == WorkerPhase::kReady && !view.leaving && !view.suspect &&
@@ -409,18 +429,17 @@
             Severity::kWarning);
     ConcludeAll(worker, view, Conclusion::kLapsed, wall, out);
   }
-  if (view.leaving && now - view.left_at > kLeaveGrace) {
-    ConcludeAll(worker, view, Conclusion::kLeft, wall, out);
-  }
   const bool silent = now - view.last_heard > kForgetSilent;
-  if (view.runs.empty() && known.tasks.empty() && (silent || view.leaving)) {
+  const bool gone = view.leaving && now - view.left_at > kLeaveGrace;
+  if (view.runs.empty() && known.tasks.empty() && (silent || gone)) {
     propose_(ForgetWorker{.worker = worker, .born_ms = view.born_ms});
     view.last_heard = now;  // not proposed again at once
     return;
   }
   TickRuns(worker, view, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
-  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty();
+  const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() ||
+                   view.leaving;  // whether it answers tells if it is still there
   const bool ends_pending = view.proposed_ends > known.noted_ends;
   if (due && !view.hold_out && !ends_pending && now >= view.hold_at) {
     SendHold(worker, view, now, out);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -29,6 +29,7 @@
   const OrderReply& reply = event.reply;
   const bool answered =
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
+  if (answered) view->answered_at = std::max(view->answered_at, sent.sent_at);
   if (answered && IsFromAnother(sent, *view, reply)) {
     // What it has done shows in its lists; until then nothing is acknowledged or renewed.
     out.Log("worker_restarted",
@@ -151,7 +152,6 @@
   view.hold_out = false;
   if (reply.outcome != OrderOutcome::kDone) {
     view.hold_at = now + kRetryPause;
-    if (view.leaving) ConcludeAll(sent.worker, view, Conclusion::kLeft, wall, out);
     return;
   }
   view.hold_at = now + kHoldPause;
@@ -162,7 +162,11 @@
     propose_(NoteWorker{.record = std::move(record)});
     return;
   }
-  if (view.leaving && sent.sent_at > view.left_at) view.leaving = false;
+  if (view.leaving && sent.sent_at > view.left_at) {
+    view.leaving = false;
+    out.Log("worker_stays", {{"worker", sent.worker}, {"born_ms", std::to_string(view.born_ms)}},
+            Severity::kWarning);
+  }
   view.listed = true;
   view.confirmed = true;
   view.told_ends = std::max(view.told_ends, sent.noted_ends);
@@ -278,20 +282,6 @@
                    .wall_ms = wall});
 }
 
-void WorkerFleet::Retire(const WorkerId& worker, Micros now, WallMs wall, Outbox& out) {
-  View* view = Find(worker);
-  if (view == nullptr) return;
-  out.Log("worker_taken_down",
-          {{"worker", worker},
-           {"born_ms", std::to_string(view->born_ms)},
-           {"runs", std::to_string(view->runs.size())},
-           {"heard_ms_ago", std::to_string((now - view->last_heard) / kMillisecond)}},
-          view->runs.empty() ? Severity::kInfo : Severity::kWarning);
-  ConcludeAll(worker, *view, Conclusion::kTakenDown, wall, out);
-  view->leaving = true;
-  view->left_at = now;
-}
-
 void WorkerFleet::ConcludeAll(const WorkerId& worker, View& view, Conclusion conclusion,
                               WallMs wall, Outbox& out) {
   for (auto& [task, run] : view.runs) Conclude(worker, view, task, run, conclusion, wall, out);
