--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -57,7 +57,11 @@
     const bool young = wall - worker.record.born_ms < kYoungLeases * options_.longest_lease_ms;
     if (young && worker.restarted) view.first_lease_ms = options_.longest_lease_ms;
     view.lapse_at = now + LeaseToLocal(view.first_lease_ms) + kLapseMargin;
-    for (const TaskId& task : worker.tasks) view.runs[task].run = state_.FindTask(task)->run;
+    for (const TaskId& name : worker.tasks) {
+      const Task& task = *state_.FindTask(name);
+      const bool unwanted = task.settled || !state_.FindJob(name.job)->active();
+      view.runs[name] = {.run = task.run, .stop_wanted = unwanted};
+    }
   }
 }
 
@@ -251,12 +255,15 @@
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
-    if (view->confirmed) {
+    const bool ready = state_.FindWorker(assign->worker)->record.phase == WorkerPhase::kReady;
+    if (view->confirmed && ready) {
       SendStart(assign->worker, *view, assign->task, run, now, out);
     } else {
       Conclude(assign->worker, *view, assign->task, run, Conclusion::kNeverSent, wall, out);
     }
   } else if (const auto* end = std::get_if<NoteEnd>(&command)) {
+    const Task* task = state_.FindTask(end->task);
+    if (task != nullptr && task->settled) Stop(end->task, now, out);
     View* view = Find(end->worker);
     if (view == nullptr) return;
     const auto run = view->runs.find(end->task);
@@ -436,7 +443,7 @@
     view.last_heard = now;  // not proposed again at once
     return;
   }
-  TickRuns(worker, view, now, out);
+  TickRuns(worker, view, known.record.phase == WorkerPhase::kReady, now, out);
   const bool ends_to_forget = known.noted_ends > view.told_ends;
   const bool due = !view.listed || !view.confirmed || ends_to_forget || !view.runs.empty() ||
                    view.leaving;  // whether it answers tells if it is still there
@@ -446,9 +453,12 @@
   }
 }
 
-void WorkerFleet::TickRuns(const WorkerId& worker, View& view, Micros now, Outbox& out) {
+void WorkerFleet::TickRuns(const WorkerId& worker, View& view, bool ready, Micros now,
+                           Outbox& out) {
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed) continue;
+    // A worker that leaves begins nothing more.
+    if (!ready && run.phase == RunPhase::kStarting && !run.start_out) run.stop_wanted = true;
     if (run.stop_wanted) {
       if (!run.stop_out && now >= run.stop_again_at) SendStop(worker, view, task, run, now, out);
     } else if (run.phase == RunPhase::kStarting && view.confirmed && !run.start_out &&
