--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -59,8 +59,12 @@
     view->suspect = false;
     out.Log("worker_answers", {{"worker", sent.worker}});
   }
-  if (reply.outcome == OrderOutcome::kOtherInstance && sent.born_ms == view->born_ms) {
-    out.Log("worker_replaced", {{"worker", sent.worker}}, Severity::kWarning);
+  const Worker* known = state_.FindWorker(sent.worker);
+  const bool of_present =
+      sent.born_ms == view->born_ms && known != nullptr && sent.address == known->record.address;
+  if (reply.outcome == OrderOutcome::kOtherInstance && of_present) {
+    out.Log("worker_replaced", {{"worker", sent.worker}, {"address", sent.address}},
+            Severity::kWarning);
     ConcludeAll(sent.worker, *view, Conclusion::kReplaced, wall, out);
     view->leaving = true;
     view->left_at = now;
@@ -127,6 +131,7 @@
       refuse(kRetryPause);
       break;
     case OrderOutcome::kUnknown:
+      ++run.unanswered;
       break;
   }
   run.resend_at = now + kRetryPause;
@@ -249,8 +254,9 @@
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed || listed.contains(task)) continue;
     const bool stopped = run.stop_answered_at && sent.sent_at > *run.stop_answered_at + stop_time;
-    const bool gone =
-        run.phase == RunPhase::kRunning && run.started_at < sent.sent_at && !run.start_out;
+    const bool late_copy = run.stop_wanted && run.unanswered > 0;
+    const bool gone = run.phase == RunPhase::kRunning && run.started_at < sent.sent_at &&
+                      !run.start_out && !late_copy;
     if (run.phase == RunPhase::kInherited) {
       // This list was answered under the new token, so the start can not be carried out any more.
       Conclude(sent.worker, view, task, run, Conclusion::kNeverSent, wall, out);
