Count the lease of before a term from an answer to an order of this term, not from a report

A task could run twice after a change of leader: a report that was held up carries an old clock, and the lease that the former leader may have given was counted from it, so that the runs were concluded as lapsed too early by that delay while they went on.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -164,7 +164,8 @@
   if (call.sequence < view->sequence) return false;
   view->sequence = call.sequence;
   view->last_heard = now;
-  NoteClock(*view, call.clock_ms, now);
+  // A report may be late: the lease of before the term is counted from an answer to its own order.
+  if (view->has_clock) NoteClock(*view, call.clock_ms, now);
   return true;
 }
 
--- a/tests/run_conclusion_test.cc
+++ b/tests/run_conclusion_test.cc
@@ -512,6 +512,17 @@
     time_to_lapse();
     CHECK(test.worker().ClockAt(test.now) >= until_ms);
   }
+  SECTION("of a former leader is not counted from a report that was held up") {
+    const jobs::HeartbeatCall late = test.MakeReport(test.worker());
+    test.Wait(3 * kSecond);
+    test.Silence();
+    test.ChangeLeader();
+    const std::int64_t until_ms = test.worker().ClockAt(test.now) + 4'000;
+    test.Deliver(late);
+    test.Report(test.worker());
+    time_to_lapse();
+    CHECK(test.worker().ClockAt(test.now) >= until_ms);
+  }
   SECTION("of a young incarnation counts as the longest one") {
     // An order for its predecessor, whose clock showed more, may have given it any lease.
     WorkerLife& present = test.Restart(kWorker);
