Forget a worker at once when another answers at its address

Now it is known to be gone, as when a newer one reports from its VM; an incarnation that comes later under its id begins afresh.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -87,6 +87,7 @@
   view.lease_end_ms = 0;
   view.listed = false;
   view.confirmed = false;
+  view.gone = false;
   view.hold_at = now;
   view.proposed_ends = 0;
   view.told_ends = 0;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -129,7 +129,7 @@
     bool leaving = false;             // probably gone, see ExpectVmGone
     Micros left_at = 0;               // when that was said last
     Micros leaving_since = 0;
-    bool gone = false;       // a newer worker reports from its VM
+    bool gone = false;       // another worker has its VM or its address
     bool suspect = false;    // the last order was not answered
     bool confirmed = false;  // a list since then came from this incarnation
     bool hold_out = false;
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -61,12 +61,11 @@
   const Worker* known = state_.FindWorker(sent.worker);
   const bool of_present =
       sent.born_ms == view->born_ms && known != nullptr && sent.address == known->record.address;
-  if (reply.outcome == OrderOutcome::kOtherInstance && of_present) {
+  if (reply.outcome == OrderOutcome::kOtherInstance && of_present && !view->gone) {
     out.Log("worker_replaced", {{"worker", sent.worker}, {"address", sent.address}},
             Severity::kWarning);
     ConcludeAll(sent.worker, *view, Conclusion::kReplaced, wall, out);
-    view->leaving = true;
-    view->left_at = now;
+    MarkGone(*view);
   }
   switch (sent.kind) {
     case OrderKind::kStart:
