--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -87,6 +87,7 @@
   view.lease_end_ms = 0;
   view.listed = false;
   view.confirmed = false;
+  view.gone = false;
   view.hold_at = now;
   view.proposed_ends = 0;
   view.told_ends = 0;
@@ -164,7 +165,8 @@
   if (call.sequence < view->sequence) return false;
   view->sequence = call.sequence;
   view->last_heard = now;
-  NoteClock(*view, call.clock_ms, now);
+  // A report may be late: the lease of before the term is counted from an answer to its own order.
+  if (view->has_clock) NoteClock(*view, call.clock_ms, now);
   return true;
 }
 
