--- a/tests/job_soak_test.cc
+++ b/tests/job_soak_test.cc
@@ -37,7 +37,9 @@
     // 14, 24, 26: a worker restarted unnoticed between two orders; ends of its new incarnation were
     // forgotten by an acknowledgement meant for the former one. 91: a start meant for the former
     // incarnation gave the new one the longest lease, and the next leader took it for lapsed early.
-    for (const std::uint64_t seed : {14, 24, 26, 91}) {
+    // 9036, 20054: an answer about a VM was taken for proof about its next worker. 30032: a VM that
+    // was down counted as back.
+    for (const std::uint64_t seed : {14, 24, 26, 91, 9036, 20054, 30032}) {
       const JobSoakResult result =
           RunJobSoak({.seed = seed, .steps = 1'500, .waves_and_power = true});
       INFO("seed " << seed << " " << JobSoakLine(result));
@@ -74,6 +76,8 @@
     for (const std::uint64_t seed : {5, 75, 95, 140, 248, 284, 295, 17, 82, 87, 91, 107}) {
       RunOnFullPlatform(seed);
     }
+    // The lease of before a term was counted from a report that was held up.
+    for (const std::uint64_t seed : {74, 96, 156, 466}) RunOnFullPlatform(seed);
     // 23: a hold that was held up let a new incarnation forget its end. 97: the same, by a hold
     // that waited, under an earlier form of the run.
     for (const std::uint64_t seed : {23, 97}) RunOnFullPlatform(seed);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -10,5 +10,8 @@
 cmake --build build
 tools/lint.sh build
 # Entries of KNOWN-RED.txt begin with the name of a test, which is passed over, and ": ".
-passed_over=$(sed -nE 's/^([a-z0-9_]+): .*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+passed_over=
+if [ -f KNOWN-RED.txt ]; then
+  passed_over=$(sed -nE 's/^([a-z0-9_]+): .*/\1/p' KNOWN-RED.txt | paste -sd '|')
+fi
 ctest --test-dir build --output-on-failure -j "$(nproc)" ${passed_over:+-E "^($passed_over)\$"}
