Request the list of VMs again after an empty one

Callers saw pools that stood still for a whole term. Change: after an empty list the leader asks again every 2 s. The unused RequestList is gone.

--- a/control/vm_orders.cc
+++ b/control/vm_orders.cc
@@ -7,6 +7,8 @@
 
 constexpr Micros kOrderRetry = 500 * kMillisecond;
 constexpr Micros kListRetry = kSecond;
+/// Pause before the list is requested again after an empty one: VMs may start after the leader.
+constexpr Micros kEmptyListRetry = 2 * kSecond;
 /// An order is not sent later than this after the leader's lease was checked. The next leader waits
 /// for longer than this (`takeover_ms`).
 constexpr Micros kMaxSendDelay = 500 * kMillisecond;
@@ -157,8 +159,9 @@
   for (const VmRecord& vm : reply.vms) partial_list_[vm.vm] = vm;
   next_page_ = reply.next_page;
   if (!next_page_.empty()) return;
-  list_due_ = false;
   vms_ = std::exchange(partial_list_, {});
+  list_due_ = vms_.empty();
+  next_list_ = now + kEmptyListRetry;
   out.Log("vms_listed", {{"vms", std::to_string(vms_.size())}});
 }
 
--- a/control/vm_orders.h
+++ b/control/vm_orders.h
@@ -48,9 +48,7 @@
   void Release(const VmId& vm) { claims_.erase(vm); }
   /// Queues an order for a VM. Throws StateError if the VM has an unfinished order.
   void Order(const VmId& vm, VmOrder order, Done done);
-  /// Requests the list of all VMs from the platform.
-  void RequestList() { list_due_ = true; }
-  /// The latest complete list of VMs in this term; empty until the first one has arrived.
+  /// The list of VMs in this term; empty until a list with VMs has arrived.
   const std::map<VmId, VmRecord>& vms() const { return vms_; }
   /// Ignores replies to calls of earlier terms.
   void OnReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
--- a/tests/vm_orders_test.cc
+++ b/tests/vm_orders_test.cc
@@ -1,6 +1,8 @@
 #include "control/vm_orders.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -112,5 +114,34 @@
   }
 }
 
+// Guards against pools that stand still for a whole term, because the list of VMs was empty when
+// the term began.
+TEST_CASE("an empty list of VMs is requested again") {
+  VmOrdersFixture test;
+  test.vm_orders.BeginTerm(7, kTermStart);
+  const auto requested_list = [&](Micros now) -> std::optional<std::uint64_t> {
+    test.vm_orders.Tick(now, kWallMs, test.out);
+    for (const Effect& effect : std::exchange(test.out.effects, {})) {
+      const auto* one = std::get_if<VmEffect>(&effect);
+      if (one != nullptr && std::holds_alternative<ListVms>(one->order)) return one->token;
+    }
+    return std::nullopt;
+  };
+  const auto first = requested_list(kTermStart);
+  REQUIRE(first);
+  test.vm_orders.OnReply({.token = *first, .reply = {.outcome = VmOutcome::kDone}}, kTermStart,
+                         kWallMs, test.out);
+  CHECK_FALSE(requested_list(kTermStart + kSecond));
+  const Micros later = kTermStart + 10 * kSecond;
+  const auto second = requested_list(later);
+  REQUIRE(second);
+  SECTION("until it names VMs") {
+    const VmReply reply{.outcome = VmOutcome::kDone, .vms = {{.vm = "vm-1", .pool = "a"}}};
+    test.vm_orders.OnReply({.token = *second, .reply = reply}, later, kWallMs, test.out);
+    CHECK(test.vm_orders.vms().contains("vm-1"));
+    CHECK_FALSE(requested_list(later + 60 * kSecond));
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::jobs
