Keep more connections to workers open, three at most for each

Cause: 1,100 workers with up to four connections exceed the 1,600 that may be idle, so connections were closed and opened again. Change: 2,200 idle ones and three for each worker.

--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -34,10 +34,10 @@
 /// Lease that the leader grants to workers for their tasks. It outlasts an election plus one lease
 /// renewal to every worker, so tasks survive a change of leader.
 constexpr std::int64_t kTaskLeaseMs = 4'000;
-/// Each worker has one connection on which a lease renewal waits for ended runs and a few for other
+/// Each worker has one connection on which a lease renewal waits for ended runs and two for other
 /// orders. Connections stay open for as long as the worker lives.
 constexpr HttpClientOptions kOrderClientOptions = {
-    .max_idle_s = 60, .max_idle_connections = 1'600, .connections_per_server = 4};
+    .max_idle_s = 60, .max_idle_connections = 2'200, .connections_per_server = 3};
 constexpr std::size_t kMaxBodyBytes = 4U << 20U;  // the largest report of a worker fits
 constexpr std::size_t kMaxBufferedBytes = 24U << 20U;
 constexpr unsigned kMaxConnections = 1'500;
