Plan starts from the jobs that can start, and look nothing up among all workers for one end

Cause: the leader's cost grew with the backlog: each end searched all workers for its run, each plan walked all open jobs, each tick of 10 ms all runs, each move of a VM all workers. Change: the state keeps an index of the jobs with a startable task (rebuilt with the state, tested against each kind of command); ends look at their own worker; a worker's runs are looked at when one is due; moves read the busy VMs once a tick.

--- a/base/time.h
+++ b/base/time.h
@@ -2,6 +2,7 @@
 #define GODWITPADDLE_BASE_TIME_H_
 
 #include <cstdint>
+#include <limits>
 
 namespace godwitpaddle {
 
@@ -15,6 +16,9 @@
 inline constexpr Micros kSecond = 1'000'000;
 inline constexpr Micros kMinute = 60 * kSecond;
 
+/// Later than any time; as a deadline: no deadline.
+inline constexpr Micros kNever = std::numeric_limits<Micros>::max();
+
 }  // namespace godwitpaddle
 
 #endif  // GODWITPADDLE_BASE_TIME_H_
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -15,12 +15,23 @@
 constexpr Micros kPlanPause = 5 * kMillisecond;
 /// A plan is made at least this often: due times and workers' backoffs pass without an event.
 constexpr Micros kPlanPeriod = 100 * kMillisecond;
-/// Added to the pause for each open job, because a plan examines all of them.
-constexpr Micros kPlanPausePerJob = 10;
+/// Added to the pause for each job with a task to start, because a plan examines all of them.
+constexpr Micros kPlanPausePerJob = 5;
+/// Added to the pause for each worker, because a plan examines the room of all of them.
+constexpr Micros kPlanPausePerWorker = 5;
 /// Most starts in flight at once. More would queue in this node until their deadlines pass.
-constexpr std::size_t kMaxStartsInFlight = 128;
+constexpr std::size_t kMaxStartsInFlight = 256;
+/// Most starts of one plan: the next plan waits until these are durable.
+constexpr std::size_t kMaxStartsPerPlan = 128;
 constexpr Micros kFleetTickPeriod = 10 * kMillisecond;
 
+/// Returns the time from a plan to the next one.
+Micros PlanPause(const State& state) {
+  const auto jobs = static_cast<Micros>(state.startable_jobs().size());
+  const auto workers = static_cast<Micros>(state.workers().size());
+  return kPlanPause + jobs * kPlanPausePerJob + workers * kPlanPausePerWorker;
+}
+
 Answer AnswerTo(const Command& command, ApplyOutcome outcome) {
   switch (outcome) {
     case ApplyOutcome::kApplied:
@@ -147,7 +158,7 @@
 void Leader::UpdateRunTimeEstimate(const RecordEnd& end, Micros now) {
   if (end.kind != EndKind::kDone) return;
   const Job* job = state_.FindJob(end.task.job);
-  const auto time = fleet_.RunTime(end.task, end.run, now);
+  const auto time = fleet_.RunTime(end.worker, end.task, end.run, now);
   if (job == nullptr || !time || end.task.step >= job->spec.steps.size()) return;
   demand_.OnRunDone(job->service, job->spec.steps[end.task.step].estimate_ms, *time / kMillisecond);
 }
@@ -217,7 +228,7 @@
 
 void Leader::Plan(Micros now, WallMs wall, Outbox& out) {
   plan_due_ = false;
-  next_plan_ = now + kPlanPause + static_cast<Micros>(state_.open_jobs().size()) * kPlanPausePerJob;
+  next_plan_ = now + PlanPause(state_);
   const std::size_t in_flight = fleet_.StartsInFlight();
   if (in_flight >= kMaxStartsInFlight) return;
   const auto usable = [&] {
@@ -230,8 +241,11 @@
   const auto factor = [this](const std::string& service) {
     return demand_.EstimateFactor(service);
   };
-  std::vector<Assign> starts = PlanStarts(
-      {.state = state_, .usable_workers = usable, .estimate_factor = factor, .wall_ms = wall});
+  std::vector<Assign> starts = PlanStarts({.state = state_,
+                                           .usable_workers = usable,
+                                           .estimate_factor = factor,
+                                           .wall_ms = wall,
+                                           .max_starts = kMaxStartsPerPlan});
   LogStarts(starts, wall, out);
   unapplied_starts_ += starts.size();
   for (Assign& start : starts) Propose(std::move(start));
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -111,8 +111,9 @@
 }
 
 Answer Leader::CountPending(const Queue& queue) const {
-  const auto pending = std::ranges::count_if(state_.open_jobs(), [&](JobId id) {
-    const Job& job = *state_.FindJob(id);
+  // A queued job has a startable task: none of its tasks has started.
+  const auto pending = std::ranges::count_if(state_.startable_jobs(), [&](const auto& entry) {
+    const Job& job = *entry.second;
     return job.phase == JobPhase::kQueued && job.queue == queue.name;
   });
   return {.content = AnswerContent::kPending, .number = static_cast<std::uint64_t>(pending)};
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -54,8 +54,9 @@
 }
 
 bool Maintenance::IsCordoned(const Worker& worker) const {
-  return !worker.record.vm.empty() && active_.contains(worker.record.vm) &&
-         active_.at(worker.record.vm).step != VmStep::kDown;
+  if (active_.empty() || worker.record.vm.empty()) return false;
+  const auto work = active_.find(worker.record.vm);
+  return work != active_.end() && work->second.step != VmStep::kDown;
 }
 
 void Maintenance::Tick(Micros now, Outbox& out) {
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -60,12 +60,26 @@
   for (const PoolMove& move : moves) draining[move.vm] = move.to;
   // A VM whose move is no longer planned gets tasks again.
   draining_ = std::move(draining);
-  for (const PoolMove& move : moves) Start(move, now, out);
+  const std::set<std::string_view> busy = BusyVms();
+  for (const PoolMove& move : moves) {
+    // A later tick moves a VM that has tasks, once they have ended.
+    if (!busy.contains(move.vm)) Start(move, now, out);
+  }
+}
+
+std::set<std::string_view> PoolScaler::BusyVms() const {
+  std::set<std::string_view> busy;
+  for (const auto& [id, worker] : state_.workers()) {
+    if (!worker.tasks.empty()) busy.insert(worker.record.vm);
+  }
+  return busy;
 }
 
 /// Ends the moves of VMs that have arrived in their new pools or whose arrival timed out.
 void PoolScaler::FinishMoves(Micros now) {
+  const bool none = moving_.empty() && standby_vms_.empty();
   for (const auto& [id, worker] : state_.workers()) {
+    if (none) break;
     const auto moving = moving_.find(worker.record.vm);
     // The worker is a new one, or the present one if the VM was already in this pool.
     if (moving != moving_.end() && moving->second.arrives != 0 &&
@@ -74,7 +88,8 @@
       orders_.Release(worker.record.vm);
       moving_.erase(moving);
     }
-    if (fleet_.IsUsable(id, now)) standby_vms_.erase(worker.record.vm);
+    const auto standby = standby_vms_.find(worker.record.vm);
+    if (standby != standby_vms_.end() && fleet_.IsUsable(id, now)) standby_vms_.erase(standby);
   }
   const Micros max_duration = kArrivalFactor * options_.move_ms * kMillisecond;
   std::erase_if(moving_, [&](const auto& entry) {
@@ -150,9 +165,8 @@
 
 void PoolScaler::TrackLongRunningWaits(Micros now) {
   std::map<TaskId, Micros> waits;
-  for (const JobId id : state_.open_jobs()) {
-    const Job& job = *state_.FindJob(id);
-    if (!job.active()) continue;
+  for (const auto& [id, waiting] : state_.startable_jobs()) {
+    const Job& job = *waiting;
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
       const StepRun& run = job.At(0, step);
       if (!job.spec.steps[step].long_running || run.assigned == run.tasks.size()) continue;
@@ -236,10 +250,6 @@
 }
 
 void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
-  const bool busy = std::ranges::any_of(state_.workers(), [&](const auto& entry) {
-    return entry.second.record.vm == move.vm && !entry.second.tasks.empty();
-  });
-  if (busy) return;  // a later tick moves it, once it has no tasks
   draining_.erase(move.vm);
   moving_[move.vm] = {.to = move.to, .ordered = now};
   out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -2,7 +2,9 @@
 #define GODWITPADDLE_CONTROL_POOL_SCALER_H_
 
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "control/events.h"
 #include "control/maintenance.h"
@@ -64,7 +66,9 @@
   std::map<std::string, std::vector<LongRunningDemand>> LongRunningDemands(Micros now) const;
   void AddLongRunningNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void FinishMoves(Micros now);
-  /// Orders the move if the VM has no tasks.
+  /// VMs whose workers have tasks.
+  std::set<std::string_view> BusyVms() const;
+  /// Orders the move of a VM that has no tasks.
   void Start(const PoolMove& move, Micros now, Outbox& out);
   void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out);
   bool HasLongRunningTask(const Worker& worker) const;
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -281,15 +281,14 @@
          !run->second.stop_wanted && !run->second.end_proposed;
 }
 
-std::optional<Micros> WorkerFleet::RunTime(const TaskId& task, std::uint32_t run,
-                                           Micros now) const {
-  for (const auto& [id, view] : views_) {
-    const auto found = view.runs.find(task);
-    if (found == view.runs.end() || found->second.run != run) continue;
-    if (found->second.started_at == 0) return std::nullopt;
-    return now - found->second.started_at;
-  }
-  return std::nullopt;
+std::optional<Micros> WorkerFleet::RunTime(const WorkerId& worker, const TaskId& task,
+                                           std::uint32_t run, Micros now) const {
+  const auto view = views_.find(worker);
+  if (view == views_.end()) return std::nullopt;
+  const auto found = view->second.runs.find(task);
+  if (found == view->second.runs.end() || found->second.run != run) return std::nullopt;
+  if (found->second.started_at == 0) return std::nullopt;
+  return now - found->second.started_at;
 }
 
 // ---- applied commands ----
@@ -300,6 +299,7 @@
   if (const auto* assign = std::get_if<Assign>(&command)) {
     WorkerView* view = FindView(assign->worker);
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
+    view->runs_due = 0;
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
     const bool ready = state_.FindWorker(assign->worker)->record.phase == WorkerPhase::kReady;
@@ -318,6 +318,7 @@
     CountEnd(*view, end->kind, now);
   } else if (const auto* update = std::get_if<RecordWorker>(&command)) {
     WorkerView& view = views_[update->record.id];
+    view.runs_due = 0;
     if (view.last_heard == 0) view.last_heard = now;
     if (view.incarnation != update->record.incarnation_ms && outcome == ApplyOutcome::kApplied) {
       if (view.incarnation != 0) LogIncarnation(update->record, view, out);
@@ -473,6 +474,7 @@
   if (known == nullptr || known->phase != TaskPhase::kAssigned) return;
   WorkerView* view = FindView(known->worker);
   if (view == nullptr) return;
+  view->runs_due = 0;
   const auto run = view->runs.find(task);
   if (run == view->runs.end() || run->second.stop_wanted) return;
   run->second.stop_wanted = true;
@@ -526,19 +528,29 @@
 
 void WorkerFleet::TickRuns(const WorkerId& worker, WorkerView& view, bool ready, Micros now,
                            Outbox& out) {
+  if (now < view.runs_due) return;
+  view.runs_due = kNever;
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed) continue;
     // A draining worker starts no more runs.
     if (!ready && run.phase == RunPhase::kStarting && !run.start_in_flight) run.stop_wanted = true;
-    if (run.stop_wanted) {
-      if (!run.stop_in_flight && now >= run.stop_due) SendStop(worker, view, task, run, now, out);
-    } else if (run.phase == RunPhase::kStarting && view.confirmed && !run.start_in_flight &&
-               now >= run.start_due) {
-      // Requires a run list that confirms the incarnation: a lease end on the clock of an earlier
-      // incarnation means nothing to the next one.
-      SendStart(worker, view, task, run, now, out);
+    if (now >= NextSend(view, run)) {
+      if (run.stop_wanted) {
+        SendStop(worker, view, task, run, now, out);
+      } else {
+        SendStart(worker, view, task, run, now, out);
+      }
     }
+    view.runs_due = std::min(view.runs_due, NextSend(view, run));
   }
 }
 
+Micros WorkerFleet::NextSend(const WorkerView& view, const Run& run) {
+  if (run.stop_wanted) return run.stop_in_flight ? kNever : run.stop_due;
+  // A start requires a run list that confirms the incarnation: a lease end on the clock of an
+  // earlier incarnation means nothing to the next one.
+  const bool may_start = run.phase == RunPhase::kStarting && view.confirmed && !run.start_in_flight;
+  return may_start ? run.start_due : kNever;
+}
+
 }  // namespace godwitpaddle::jobs
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -68,9 +68,10 @@
   /// Whether the worker last reported that a long-running task runs at full speed. False if the
   /// worker does not answer or is expected to go down.
   bool RunsAtFullSpeed(const TaskId& task) const;
-  /// Returns the time since the leader first learned that the run had started; nothing if it has
-  /// not learned so.
-  std::optional<Micros> RunTime(const TaskId& task, std::uint32_t run, Micros now) const;
+  /// Returns the time since the leader first learned that the run had started on the worker;
+  /// nothing if it has not learned so.
+  std::optional<Micros> RunTime(const WorkerId& worker, const TaskId& task, std::uint32_t run,
+                                Micros now) const;
   /// Number of start orders that have not been answered yet.
   std::size_t StartsInFlight() const { return starts_in_flight_; }
   /// Whether the worker sent a leave call or its VM was taken down, and it has not answered a
@@ -159,6 +160,9 @@
     /// The worker has answered a renewal that acknowledged its ends up to this number.
     std::uint64_t acknowledgement_delivered = 0;
     std::map<TaskId, Run> runs;
+    /// No run needs a start or a stop before this time; 0 after each event that concerns the
+    /// worker.
+    Micros runs_due = 0;
     /// Earliest time of the next stop of each orphan run, which the worker lists but the state does
     /// not know.
     std::map<std::pair<TaskId, std::uint32_t>, Micros> orphan_stop_at;
@@ -234,7 +238,10 @@
                    Outbox& out);
   void TickWorker(const WorkerId& worker, WorkerView& view, const Worker& known, Micros now,
                   WallMs wall, Outbox& out);
+  /// Sends the starts and stops that are due.
   void TickRuns(const WorkerId& worker, WorkerView& view, bool ready, Micros now, Outbox& out);
+  /// Returns the time of the run's next start or stop; kNever if it only waits for the worker.
+  static Micros NextSend(const WorkerView& view, const Run& run);
   void CountEnd(WorkerView& view, EndKind kind, Micros now);
   /// Stops the current runs of those tasks in the step of `id` that an earlier run has completed.
   void StopCompletedTasks(const TaskId& id, Micros now, Outbox& out);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -26,6 +26,7 @@
   if (sent.kind == OrderKind::kStart) --starts_in_flight_;
   WorkerView* view = FindView(sent.worker);
   if (view == nullptr) return;
+  view->runs_due = 0;
   const OrderReply& reply = event.reply;
   const bool answered =
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -50,7 +50,6 @@
  private:
   void AddWorkers();
   void AddCandidates(const Job& job);
-  bool IsReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) const;
   std::int64_t DueMs(const Job& job, std::uint32_t occurrence) const;
   void Place(const Candidate& candidate);
   void PlaceGang(const Candidate& candidate, const StepRun& run);
@@ -75,10 +74,7 @@
 };
 
 std::vector<Assign> Plan::Make() {
-  for (const JobId id : input_.state.open_jobs()) {
-    const Job& job = *input_.state.FindJob(id);
-    if (job.active()) AddCandidates(job);
-  }
+  for (const auto& [id, job] : input_.state.startable_jobs()) AddCandidates(*job);
   if (candidates_.empty()) return {};
   AddWorkers();
   std::ranges::stable_sort(candidates_, {}, &Candidate::rank);
@@ -131,7 +127,7 @@
     const auto critical_path = static_cast<std::int64_t>(
         factor * static_cast<double>(RemainingCriticalPathMs(job, occurrence)));
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-      if (!IsReady(job, occurrence, step)) continue;
+      if (!HasStartableTask(job, occurrence, step)) continue;
       const WaitingStep waiting{.priority = queue == nullptr ? 0 : queue->priority,
                                 .due_ms = due,
                                 .objective_ms = objective,
@@ -152,15 +148,6 @@
   return job.spec.first_due_ms + occurrence * job.spec.interval_ms;
 }
 
-bool Plan::IsReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) const {
-  const StepRun& run = job.At(occurrence, step);
-  if (run.done + run.assigned >= run.tasks.size()) return false;
-  return std::ranges::all_of(job.spec.steps[step].depends_on, [&](std::uint32_t before) {
-    const StepRun& earlier = job.At(occurrence, before);
-    return earlier.done == earlier.tasks.size();
-  });
-}
-
 std::map<WorkerId, std::uint32_t> Plan::CountPerWorker(const Candidate& candidate) const {
   std::map<WorkerId, std::uint32_t> counts;
   for (const Task& task : candidate.job->At(candidate.occurrence, candidate.step).tasks) {
--- a/jobs/start_order.cc
+++ b/jobs/start_order.cc
@@ -1,7 +1,7 @@
 #include "jobs/start_order.h"
 
 #include <algorithm>
-#include <vector>
+#include <boost/container/small_vector.hpp>
 
 namespace godwitpaddle::jobs {
 
@@ -23,7 +23,7 @@
 }
 
 std::int64_t RemainingCriticalPathMs(const Job& job, std::uint32_t occurrence) {
-  std::vector<std::int64_t> finish_ms(job.spec.steps.size(), 0);
+  boost::container::small_vector<std::int64_t, 8> finish_ms(job.spec.steps.size(), 0);
   std::int64_t longest = 0;
   for (std::uint32_t i = 0; i < job.spec.steps.size(); ++i) {
     const Step& step = job.spec.steps[i];
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -29,12 +29,31 @@
   return longest;
 }
 
+/// Whether any step of any occurrence has a startable task.
+bool HasStartableStep(const Job& job) {
+  for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      if (HasStartableTask(job, occurrence, step)) return true;
+    }
+  }
+  return false;
+}
+
 [[noreturn]] void ThrowStateError(const TaskId& task, const char* what) {
   throw StateError(FormatTask(task) + ": " + what);
 }
 
 }  // namespace
 
+bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  const StepRun& run = job.At(occurrence, step);
+  if (run.done + run.assigned >= run.tasks.size()) return false;
+  return std::ranges::all_of(job.spec.steps[step].depends_on, [&](std::uint32_t before) {
+    const StepRun& earlier = job.At(occurrence, before);
+    return earlier.done == earlier.tasks.size();
+  });
+}
+
 ApplyOutcome State::Apply(const Command& command) {
   return std::visit([this](const auto& one) { return ApplyOne(one); }, command);
 }
@@ -53,11 +72,13 @@
 
 void State::RebuildIndexes() {
   open_jobs_.clear();
+  startable_jobs_.clear();
   team_usage_.clear();
   ended_jobs_.clear();
   for (const auto& [id, job] : jobs_) {
     if (job.active() || job.assigned > 0) open_jobs_.insert(id);
     if (!job.active()) ended_jobs_.emplace(job.ended_ms, id);
+    UpdateStartable(job);
   }
   for (const auto& [id, worker] : workers_) {
     for (const TaskId& task : worker.tasks) {
@@ -67,6 +88,14 @@
   }
 }
 
+void State::UpdateStartable(const Job& job) {
+  if (job.active() && HasStartableStep(job)) {
+    startable_jobs_.emplace(job.id, &job);
+  } else {
+    startable_jobs_.erase(job.id);
+  }
+}
+
 const Job* State::FindJob(JobId id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -120,6 +149,7 @@
     }
   }
   open_jobs_.insert(command.job);
+  UpdateStartable(job);
   return ApplyOutcome::kApplied;
 }
 
@@ -127,6 +157,7 @@
   const auto found = jobs_.find(command.job);
   if (found == jobs_.end()) return ApplyOutcome::kNoSuchJob;
   if (found->second.active()) EndJob(found->second, JobPhase::kCancelled, command.wall_ms);
+  UpdateStartable(found->second);
   return ApplyOutcome::kApplied;
 }
 
@@ -166,6 +197,7 @@
   ++job.At(command.task.occurrence, command.task.step).assigned;
   ++job.assigned;
   job.phase = JobPhase::kRunning;
+  UpdateStartable(job);
   return ApplyOutcome::kApplied;
 }
 
@@ -204,6 +236,7 @@
   } else if (command.number != 0) {
     ApplyEarlierEnd(job, command.task, *task, command);
   }
+  UpdateStartable(job);
   if (!job.active() && job.assigned == 0) DropDetails(job);
   return ApplyOutcome::kApplied;
 }
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -62,6 +62,9 @@
   }
 };
 
+/// Whether a task of the step waits and the steps that it depends on are done.
+bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step);
+
 struct Worker {
   WorkerRecord record;
   std::uint64_t acknowledged_ends = 0;  // the worker may discard its ends up to this number
@@ -111,6 +114,8 @@
   const Task* FindTask(const TaskId& id) const;
   /// Jobs that are active or still have assigned tasks.
   const std::set<JobId>& open_jobs() const { return open_jobs_; }
+  /// Active jobs with a step for which HasStartableTask holds.
+  const std::map<JobId, const Job*>& startable_jobs() const { return startable_jobs_; }
   const std::map<WorkerId, Worker>& workers() const { return workers_; }
   const Worker* FindWorker(const WorkerId& id) const;
   const std::map<WaveId, Wave>& waves() const { return waves_; }
@@ -145,6 +150,8 @@
   void EndJob(Job& job, JobPhase phase, std::int64_t wall_ms);
   /// Drops the spec and the steps of an ended job that has no assigned tasks left.
   void DropDetails(Job& job);
+  /// Adds the job to `startable_jobs_` or removes it, by what holds now.
+  void UpdateStartable(const Job& job);
   void RemoveExpiredJobs(std::int64_t wall_ms);
   void RebuildIndexes();
 
@@ -157,6 +164,7 @@
   std::int64_t newest_wall_ms_ = 0;  // latest Unix time of an applied Submit
   // Derived from the members above.
   std::set<JobId> open_jobs_;
+  std::map<JobId, const Job*> startable_jobs_;
   std::map<std::string, Resources> team_usage_;
   std::set<std::pair<std::int64_t, JobId>> ended_jobs_;  // by the Unix time of their ends
 };
--- a/runtime/clock.h
+++ b/runtime/clock.h
@@ -1,15 +1,10 @@
 #ifndef GODWITPADDLE_RUNTIME_CLOCK_H_
 #define GODWITPADDLE_RUNTIME_CLOCK_H_
 
-#include <limits>
-
 #include "base/time.h"
 
 namespace godwitpaddle {
 
-/// Later than any time; as a deadline: no deadline.
-inline constexpr Micros kNever = std::numeric_limits<Micros>::max();
-
 /// Returns the monotonic time in microseconds (CLOCK_BOOTTIME). It advances while the VM is
 /// suspended, so that leases expire during a suspension.
 Micros MonotonicNow();
--- a/tests/job_state_test.cc
+++ b/tests/job_state_test.cc
@@ -255,5 +255,61 @@
   }
 }
 
+// Guards against an index of startable jobs that differs from the jobs: the leader plans from it,
+// so that a job that is missing there never starts.
+TEST_CASE("startable jobs are those with a waiting task whose dependencies are done") {
+  State state;
+  Configuration configuration{.version = 1};
+  configuration.services = {{.name = "print"}};
+  configuration.queues = {{.name = "quotes", .prefix = "/q/", .service = "print", .open = true}};
+  state.Apply(Configure{.configuration = configuration});
+  const Resources capacity{.cpu = 4'000, .memory_mb = 4'000};
+  state.Apply(RecordWorker{
+      .record = {.id = "w1", .incarnation_ms = 1, .service = "print", .capacity = capacity}});
+  const JobSpec spec{.steps = {{.count = 2}, {.count = 1, .depends_on = {0}}}};
+  state.Apply(Submit{.job = 7, .queue = "quotes", .spec = spec});
+  const auto startable = [&state] {
+    State copy;
+    copy.Decode(state.Encode());
+    CHECK(copy.startable_jobs().size() == state.startable_jobs().size());
+    return state.startable_jobs().contains(7);
+  };
+  const auto assign = [&state](TaskId task, std::uint32_t run) {
+    return state.Apply(Assign{.task = task, .run = run, .worker = "w1"});
+  };
+  const auto end = [&state](TaskId task, std::uint32_t run, EndKind kind) {
+    state.Apply(
+        RecordEnd{.worker = "w1", .incarnation_ms = 1, .task = task, .run = run, .kind = kind});
+  };
+  const TaskId first{.job = 7};
+  const TaskId second{.job = 7, .index = 1};
+  const TaskId last{.job = 7, .step = 1};
+  CHECK(startable());
+  assign(first, 1);
+  CHECK(startable());
+  assign(second, 1);
+  CHECK_FALSE(startable());
+  SECTION("a run that was lost makes its job startable again") {
+    end(first, 1, EndKind::kLost);
+    CHECK(startable());
+  }
+  SECTION("a step becomes startable with the end of the one before, until it is assigned") {
+    end(first, 1, EndKind::kDone);
+    CHECK_FALSE(startable());
+    end(second, 1, EndKind::kDone);
+    CHECK(startable());
+    assign(last, 1);
+    CHECK_FALSE(startable());
+    end(last, 1, EndKind::kDone);
+    CHECK(state.FindJob(7)->phase == JobPhase::kCompleted);
+    CHECK_FALSE(startable());
+  }
+  SECTION("a cancelled job is not startable") {
+    end(first, 1, EndKind::kLost);
+    state.Apply(Cancel{.job = 7});
+    CHECK_FALSE(startable());
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::jobs
