Find cordoned VMs and services of a plan by hash

Cause: each plan looked up every worker's VM in three ordered maps and its service in a fourth; with 1,100 workers and some hundred VMs on the move the comparisons of ids were the largest part of the leader's profile (12%).

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -1,6 +1,8 @@
 #include "control/leader.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "control/refusal.h"
@@ -16,7 +18,7 @@
 /// A plan is made at least this often: due times and workers' backoffs pass without an event.
 constexpr Micros kPlanPeriod = 100 * kMillisecond;
 /// Added to the pause for each job with a task to start, because a plan examines all of them.
-constexpr Micros kPlanPausePerJob = 5;
+constexpr Micros kPlanPausePerJob = 10;
 /// Added to the pause for each worker, because a plan examines the room of all of them.
 constexpr Micros kPlanPausePerWorker = 5;
 /// Most starts in flight at once. More would queue in this node until their deadlines pass.
@@ -232,10 +234,12 @@
   const std::size_t in_flight = fleet_.StartsInFlight();
   if (in_flight >= kMaxStartsInFlight) return;
   const auto usable = [&] {
+    std::unordered_set<std::string_view> cordoned;
+    maintenance_.AddCordonedVms(cordoned);
+    pools_.AddCordonedVms(cordoned);
     auto workers = fleet_.UsableWorkers(now);
-    std::erase_if(workers, [&](const UsableWorker& one) {
-      return maintenance_.IsCordoned(*one.worker) || pools_.IsCordoned(*one.worker);
-    });
+    std::erase_if(
+        workers, [&](const UsableWorker& one) { return cordoned.contains(one.worker->record.vm); });
     return workers;
   };
   const auto factor = [this](const std::string& service) {
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -53,6 +53,12 @@
   return found == workers_.end() ? nullptr : found->second;
 }
 
+void Maintenance::AddCordonedVms(std::unordered_set<std::string_view>& vms) const {
+  for (const auto& [vm, work] : active_) {
+    if (work.step != VmStep::kDown) vms.insert(vm);
+  }
+}
+
 bool Maintenance::IsCordoned(const Worker& worker) const {
   if (active_.empty() || worker.record.vm.empty()) return false;
   const auto work = active_.find(worker.record.vm);
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include "control/events.h"
 #include "control/vm_orders.h"
@@ -38,6 +39,8 @@
 
   /// Whether the worker must not get new tasks because its VM is about to be taken down.
   bool IsCordoned(const Worker& worker) const;
+  /// Adds the VMs of such workers.
+  void AddCordonedVms(std::unordered_set<std::string_view>& vms) const;
   /// Whether the VM is being drained for maintenance, or maintained.
   bool IsInMaintenance(const VmId& vm) const { return active_.contains(vm); }
 
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -32,8 +32,9 @@
   standby_read_ = false;
 }
 
-bool PoolScaler::IsCordoned(const Worker& worker) const {
-  return draining_.contains(worker.record.vm) || moving_.contains(worker.record.vm);
+void PoolScaler::AddCordonedVms(std::unordered_set<std::string_view>& vms) const {
+  for (const auto& [vm, to] : draining_) vms.insert(vm);
+  for (const auto& [vm, move] : moving_) vms.insert(vm);
 }
 
 bool PoolScaler::HasLongRunningTask(const Worker& worker) const {
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include "control/events.h"
 #include "control/maintenance.h"
@@ -36,8 +37,8 @@
 
   void BeginTerm();
   void Tick(Micros now, Outbox& out);
-  /// Whether the worker must not get new tasks because its VM is to be moved.
-  bool IsCordoned(const Worker& worker) const;
+  /// Adds the VMs that must not get new tasks because they are to be moved.
+  void AddCordonedVms(std::unordered_set<std::string_view>& vms) const;
   /// Whether the VM is being moved to another pool.
   bool IsMoving(const VmId& vm) const { return moving_.contains(vm); }
 
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "jobs/start_order.h"
@@ -65,10 +66,10 @@
   std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
 
   const PlanInput& input_;
-  std::map<std::string_view, ServiceRoom> services_;
-  std::map<std::string_view, const Queue*> queues_;  // cache of look-ups
-  std::map<std::string_view, TeamUsage> teams_;      // cache of look-ups
-  std::map<std::string_view, double> factors_;       // by service; cache of look-ups
+  std::unordered_map<std::string_view, ServiceRoom> services_;
+  std::unordered_map<std::string_view, const Queue*> queues_;  // cache of look-ups
+  std::unordered_map<std::string_view, TeamUsage> teams_;      // cache of look-ups
+  std::unordered_map<std::string_view, double> factors_;       // by service; cache of look-ups
   std::vector<Candidate> candidates_;
   std::vector<Assign> starts_;
 };
