--- a/jobs/state.h
+++ b/jobs/state.h
@@ -101,6 +101,10 @@
 class State {
  public:
   explicit State(StateOptions options = {}) : options_(options) {}
+  State(const State&) = delete;  // the indexes of a copy would point into the original
+  State& operator=(const State&) = delete;
+  State(State&&) = default;
+  State& operator=(State&&) = default;
 
   /// Throws StateError if the state violates an invariant.
   ApplyOutcome Apply(const Command& command);
