--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -147,8 +147,6 @@
     bool replaced = false;              // another worker has its VM or its address
     bool suspect = false;               // the last order was not sent or not answered
     bool confirmed = false;             // run lists arrived since the incarnation was last in doubt
-    /// Connection on which this incarnation sent its run lists; 0: none that is known to be open.
-    ConnectionId list_connection = 0;
     bool renewal_in_flight = false;
     Micros next_renewal_at = 0;  // earliest time of the next lease renewal
     Micros renewal_sent_at = 0;
@@ -159,6 +157,8 @@
     std::uint64_t proposed_ends = 0;   // the ends up to this number were proposed for the log
     /// The worker has answered a renewal that acknowledged its ends up to this number.
     std::uint64_t acknowledgement_delivered = 0;
+    /// Connection on which this incarnation sent its run lists; 0: none that is known to be open.
+    ConnectionId list_connection = 0;
     std::map<TaskId, Run> runs;
     /// No run needs a start or a stop before this time; 0 after each event that concerns the
     /// worker.
