--- a/node/messages.h
+++ b/node/messages.h
@@ -112,7 +112,7 @@
 };
 
 /// Tells the gateway that the pool's owner has received the attempt and holds its request in
-/// memory. On receipt, the gateway answers an asynchronous caller with HTTP status 202.
+/// memory. When it arrives, the gateway answers an asynchronous caller with HTTP status 202.
 struct ForwardAccepted {
   std::string attempt;
   MSGPACK_DEFINE(attempt)
