--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,7 +33,7 @@
 
 async def foreign_report(lab):
     """A writer that is no worker reports itself, without `slots` and `version`."""
-    body = {"service": "node-agent", "address": f"127.{lab.net}.6.1:9100", "zone": "z1",
+    body = {"service": "node-agent", "address": f"127.{lab.net}.6.1:{lab.port}", "zone": "z1",
             "state": "ready", "capacity": CAPACITY, "labels": ["a", "r1"], "machine": "m-agent",
             "clock_ms": 0, "sequence": 1, "born": -1}
     for node in lab.control_addresses():
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -474,7 +474,7 @@
         made = []
         for i in range(first, first + count):
             rack = racks[(i - first) * len(racks) // count]
-            worker = Worker(self, f"m-{service}-{i}", service, f"127.{self.net}.5.{i + 1}:8080",
+            worker = Worker(self, f"m-{service}-{i}", service, f"127.{self.net}.5.{i + 1}:{self.port}",
                             ["a", rack], capacity)
             self.workers.append(await worker.start())
             made.append(worker)
