Refuse a status report that is not whole before any state changes

Cause: `State::ApplyOne(RecordWorker)` made the entry of the worker before it compared the incarnations. A record that it rejected left an entry without a record in the replicated state. `ReadHeartbeat` took reports that lack what each worker sends, and the leader took any service. Ruled out: the parser, which accepts the number, and the relay of the call.

Change: the state compares before it makes an entry, takes no record without an id or with a `born` below 1, and drops entries that an earlier version left. The leader refuses a worker that names a service which the configuration does not have, unless it is known with this service. The same check before the change was looked for in the other commands of the state; they look up before they create.

wire_test's heartbeat of a worker lacked `version` and `cold_remaining_ms`; it has them now.

--- a/control/leader.h
+++ b/control/leader.h
@@ -106,6 +106,7 @@
   bool MayRefuse(JobId job) const;
   std::string CheckSpec(const JobSpec& spec) const;
   Answer CountPending(const Queue& queue) const;
+  bool NamesKnownService(const WorkerRecord& record, const Worker* known) const;
   void ObserveCommand(const AppliedCommand& applied, Micros now);
   /// Tells the planner which jobs a command has changed.
   void TellPlanner(const Command& command);
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -136,11 +136,27 @@
   return {.content = AnswerContent::kPending, .number = state_.QueuedJobs(queue.name)};
 }
 
+/// Whether the service of the record is in the configuration, or was when the worker first reported
+/// it. Before the first configuration every service may be.
+bool Leader::NamesKnownService(const WorkerRecord& record, const Worker* known) const {
+  const Configuration& configuration = state_.configuration();
+  return configuration.version == 0 ||
+         (known != nullptr && known->record.service == record.service) ||
+         FindService(configuration, record.service) != nullptr;
+}
+
 void Leader::Handle(const HeartbeatCall& call, const CallRequest& request, Micros now, WallMs wall,
                     Outbox& out) {
   const Worker* known = state_.FindWorker(call.record.id);
   const bool starts_draining = call.record.phase == WorkerPhase::kDraining &&
                                (known == nullptr || known->record.phase != WorkerPhase::kDraining);
+  if (!NamesKnownService(call.record, known)) {
+    out.Log("report_refused",
+            {{"worker", call.record.id}, {"service", call.record.service}, {"vm", call.record.vm}},
+            Severity::kWarning);
+    return Reply(RequesterOf(request),
+                 MakeRefusal(AnswerCode::kInvalid, "no configuration has this service"), out);
+  }
   const bool accepted = fleet_.OnHeartbeat(call, now, wall, out);
   if (known == nullptr || starts_draining ||
       known->record.incarnation_ms != call.record.incarnation_ms) {
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -100,6 +100,8 @@
 }
 
 void State::RebuildIndexes() {
+  // A record that an earlier version rejected left an entry without a record.
+  std::erase_if(workers_, [](const auto& entry) { return entry.second.record.id != entry.first; });
   open_jobs_.clear();
   startable_jobs_.clear();
   startable_long_running_jobs_.clear();
@@ -494,11 +496,17 @@
 }
 
 ApplyOutcome State::ApplyOne(const RecordWorker& command) {
+  if (command.record.id.empty() || command.record.incarnation_ms <= 0) {
+    return ApplyOutcome::kRejected;
+  }
+  if (const Worker* known = FindWorker(command.record.id)) {
+    const std::int64_t known_ms = known->record.incarnation_ms;
+    if (command.record.incarnation_ms < known_ms) return ApplyOutcome::kRejected;
+    // An older heartbeat of the same incarnation arrived late.
+    const bool same = command.record.incarnation_ms == known_ms;
+    if (same && command.sequence < known->sequence) return ApplyOutcome::kRejected;
+  }
   Worker& worker = workers_[command.record.id];
-  if (command.record.incarnation_ms < worker.record.incarnation_ms) return ApplyOutcome::kRejected;
-  // An older heartbeat of the same incarnation arrived late.
-  const bool same = command.record.incarnation_ms == worker.record.incarnation_ms;
-  if (same && command.sequence < worker.sequence) return ApplyOutcome::kRejected;
   if (command.record.incarnation_ms > worker.record.incarnation_ms) {
     const std::int64_t restarted_ms = command.record.incarnation_ms;
     MarkCrash(worker, command.planned, restarted_ms);
--- a/tests/job_state_test.cc
+++ b/tests/job_state_test.cc
@@ -120,6 +120,19 @@
   }
 }
 
+// Guards against an entry without a record, which a rejected record of an unknown worker left
+// behind: each leader that found it ended.
+TEST_CASE("a rejected record of an unknown worker leaves no entry") {
+  State state = MakeState();
+  for (const std::int64_t incarnation : {-1, 0}) {
+    CHECK(state.Apply(MakeWorker("w9", incarnation, 4'000)) == ApplyOutcome::kRejected);
+  }
+  CHECK(state.Apply(MakeWorker("", 1, 4'000)) == ApplyOutcome::kRejected);
+  CHECK(state.FindWorker("w9") == nullptr);
+  CHECK(state.worker_count() == 2);
+  CHECK(state.WorkersOnVm("").size() == 2);
+}
+
 // Guards against starts that violate a limit or a dependency because the leader's plan is wrong.
 TEST_CASE("the replicated state rejects an invalid start") {
   State state = MakeState();
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -59,9 +59,9 @@
 // Guards against a malformed heartbeat that registers a worker that does not exist.
 TEST_CASE("a worker's heartbeat is decoded") {
   const std::string good =
-      R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","machine":"m1",
-          "capacity":{"cpu":16000,"mem_mb":1,"gpu":0},"labels":["a","r1"],"clock_ms":5,"sequence":4,
-          "born":99})";
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready",
+          "cold_remaining_ms":0,"machine":"m1","capacity":{"cpu":16000,"mem_mb":1,"gpu":0},
+          "labels":["a","r1"],"clock_ms":5,"sequence":4,"born":99})";
   const auto call =
       CallOf<jobs::HeartbeatCall>(DecodeControlRequest(MakeRequest("PUT", "/instances/i-1", good)));
   CHECK(call.record.id == "i-1");
@@ -79,6 +79,70 @@
   }
 }
 
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+// Guards against the heartbeat of another writer, which was taken for that of a worker: core
+// processes ended, and the tasks of a sound worker on the same VM ran twice.
+TEST_CASE("a heartbeat that is not whole is rejected") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,)"
+      R"("state":"ready","cold_remaining_ms":0,"machine":"m1",)"
+      R"("capacity":{"cpu":16000,"mem_mb":1,"gpu":0},"labels":["a","r1"],"clock_ms":5,)"
+      R"("sequence":4,"born":99})";
+  const auto status = [](const std::string& id, const std::string& body) {
+    return StatusOf(DecodeControlRequest(MakeRequest("PUT", "/instances/" + id, body)));
+  };
+  REQUIRE(status("i-1", good) == 0);
+  SECTION("because a field is missing") {
+    for (const char* field :
+         {R"("service":"s",)", R"("address":"10.0.0.1:80",)", R"("zone":"a",)",
+          R"("version":"v1",)", R"("slots":8,)", R"("state":"ready",)", R"("cold_remaining_ms":0,)",
+          R"("machine":"m1",)", R"("capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)",
+          R"("labels":["a","r1"],)", R"("sequence":4,)", R"(,"born":99)"}) {
+      INFO(field);
+      CHECK(status("i-1", Replaced(good, field, "")) == 400);
+    }
+  }
+  SECTION("because a number is out of range") {
+    for (const char* born : {"-1", "0", "9223372036854775807", "9223372036854775808",
+                             "18446744073709551615", "1e30", "1.5"}) {
+      INFO(born);
+      CHECK(status("i-1", Replaced(good, "99", born)) == 400);
+    }
+    for (const char* number : {"-1", "18446744073709551615", "18446744073709551616"}) {
+      INFO(number);
+      CHECK(status("i-1",
+                   Replaced(good, "\"sequence\":4", std::string("\"sequence\":") + number)) == 400);
+      CHECK(status("i-1",
+                   Replaced(good, "\"clock_ms\":5", std::string("\"clock_ms\":") + number)) == 400);
+      CHECK(status("i-1", Replaced(good, "\"slots\":8", std::string("\"slots\":") + number)) ==
+            400);
+      CHECK(status("i-1", Replaced(good, "16000", number)) == 400);
+    }
+    CHECK(status("i-1", Replaced(good, "16000", "9223372036854775807")) == 400);
+    CHECK(status("i-1", Replaced(good, "\"clock_ms\":5", R"("clock_ms":9223372036854775807)")) ==
+          400);
+  }
+  SECTION("because its address is none") {
+    for (const char* address :
+         {"10.0.0.1", "10.0.0.1:", ":80", ":", "x", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:70000",
+          "10.0.0.1:99999999999999999999", "10.0.0.1:80/x", "10.0.0.1:80\\r\\nX: y", "10.0.0:80",
+          "10.0.0.1:+80", "10.0.0.256:80"}) {
+      INFO(address);
+      CHECK(status("i-1", Replaced(good, "10.0.0.1:80", address)) == 400);
+    }
+  }
+  SECTION("because an id is empty or not plain text") {
+    CHECK(status("", good) == 400);
+    CHECK(status("\xff\x01", good) == 400);
+    CHECK(status("i 1", good) == 400);
+    CHECK(status(std::string(300, 'i'), good) == 400);
+    CHECK(status("i-1", Replaced(good, "\"m1\"", "\"\"")) == 400);
+  }
+}
+
 // Guards against a truncated configuration that is accepted.
 TEST_CASE("a configuration is decoded") {
   const std::string good =
