Take a newer worker on a VM for proof only once it has answered an order

Cause: `WorkerFleet::OnHeartbeat` concluded the runs of all older workers on the VM as soon as a report of a new id with a later start arrived. A report is a claim: nobody had answered at its address. A new leader drew the same conclusion from the records in the state. Ruled out: the lease of the sound worker, which its reports renewed until the conclusion.

Evidence: foreign_report_test failed before (its runs were concluded as "succeeded", 4 of 4 checks). run_conclusion_test held the fault for right in two places, where a report alone ended the runs. It now asks that they go on until the newer worker has answered, and that they end then; its checks of older workers and of other VMs let these answer too, so they ask more than before.

Change: the older workers of a VM count as replaced when the newer one has sent its run lists in this term under the incarnation that it reported. A late report of a replaced worker is ignored only if its successor has answered. A new leader waits for the same proof. Related conclusions were read again: 421 at the worker's own address, run lists, answered stops and expired leases all come from an answer or a clock.

--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -145,8 +145,8 @@
          FindService(configuration, record.service) != nullptr;
 }
 
-void Leader::Handle(const HeartbeatCall& call, const CallRequest& request, Micros now, WallMs wall,
-                    Outbox& out) {
+void Leader::Handle(const HeartbeatCall& call, const CallRequest& request, Micros now,
+                    WallMs /*wall*/, Outbox& out) {
   const Worker* known = state_.FindWorker(call.record.id);
   const bool starts_draining = call.record.phase == WorkerPhase::kDraining &&
                                (known == nullptr || known->record.phase != WorkerPhase::kDraining);
@@ -157,7 +157,7 @@
     return Reply(RequesterOf(request),
                  MakeRefusal(AnswerCode::kInvalid, "no configuration has this service"), out);
   }
-  const bool accepted = fleet_.OnHeartbeat(call, now, wall, out);
+  const bool accepted = fleet_.OnHeartbeat(call, now);
   if (known == nullptr || starts_draining ||
       known->record.incarnation_ms != call.record.incarnation_ms) {
     out.Log("worker_reported", {{"worker", call.record.id},
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -59,7 +59,6 @@
       const bool unwanted = task.done_by_earlier_run || !state_.FindJob(task_id.job)->active();
       view.runs[task_id] = {.run = task.run, .stop_wanted = unwanted};
     }
-    if (HasSuccessor(worker.record)) MarkReplaced(view);
   }
 }
 
@@ -143,7 +142,7 @@
 
 // ---- heartbeats ----
 
-bool WorkerFleet::OnHeartbeat(const HeartbeatCall& call, Micros now, WallMs wall, Outbox& out) {
+bool WorkerFleet::OnHeartbeat(const HeartbeatCall& call, Micros now) {
   const Worker* known = state_.FindWorker(call.record.id);
   if (known != nullptr && call.record.incarnation_ms < known->record.incarnation_ms) return false;
   // The heartbeat was delayed and its worker has ended: a newer worker runs on the same VM.
@@ -155,7 +154,6 @@
     if (late) return false;
     propose_(RecordWorker{
         .record = call.record, .planned = IsPlannedEnd(call.record), .sequence = call.sequence});
-    if (known == nullptr) ConcludeOlderWorkers(call.record, wall, out);
   }
   if (view == nullptr || view->incarnation != call.record.incarnation_ms) return true;
   if (call.sequence < view->sequence) return false;
@@ -205,9 +203,10 @@
 bool WorkerFleet::HasSuccessor(const WorkerRecord& record) const {
   if (record.vm.empty()) return false;
   return std::ranges::any_of(state_.WorkersOnVm(record.vm), [&](const WorkerId& other) {
+    const auto view = views_.find(other);
     return other != record.id &&
            state_.FindWorker(other)->record.incarnation_ms > record.incarnation_ms &&
-           !IsExpectedDown(other);
+           view != views_.end() && view->second.lists_received && !view->second.expected_down;
   });
 }
 
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -44,7 +44,7 @@
   void EndTerm();
 
   /// Returns false if the heartbeat was ignored because it is older than what the leader knows.
-  bool OnHeartbeat(const HeartbeatCall& call, Micros now, WallMs wall, Outbox& out);
+  bool OnHeartbeat(const HeartbeatCall& call, Micros now);
   /// Marks the worker as expected to go down: it gets no tasks, and its lease is not extended,
   /// until it answers a RenewLeaseOrder sent after `now`.
   void ExpectWorkerDown(const WorkerId& worker, Micros now);
@@ -102,7 +102,7 @@
     kUnlisted,      // the run had started, and a later run list lacks it
     kLeaseExpired,  // every lease of the worker has expired
     kReplaced,      // another worker answers at the worker's address
-    kSuperseded,    // a newer worker reports from the worker's VM
+    kSuperseded,    // a newer worker of the worker's VM has answered an order
   };
   static constexpr EnumNames<7> kConclusionNames = {"refused", "never_sent", "stopped",  "unlisted",
                                                     "lapsed",  "replaced",   "succeeded"};
@@ -208,14 +208,15 @@
   /// Returns the time at which the worker has to be examined if no event concerns it before.
   Micros NextTick(const WorkerView& view, Micros now) const;
   bool IsUsable(const WorkerView& view, Micros now) const;
-  /// Concludes that the older workers on the VM of `newest`, and all their runs, have ended. A VM
-  /// has one worker at a time, so a newer worker proves that the others have ended.
+  /// Concludes that the older workers on the VM of `newest`, which has answered an order, and all
+  /// their runs have ended: a VM has one worker at a time.
   void ConcludeOlderWorkers(const WorkerRecord& newest, WallMs wall, Outbox& out);
   /// Whether the worker that `next` follows, under its id or on its VM, had left or was probably
   /// taken down by an order.
   bool IsPlannedEnd(const WorkerRecord& next) const;
   static void MarkReplaced(WorkerView& view);
-  /// Whether the state has a newer worker on the same VM that is not expected to go down.
+  /// Whether a newer worker on the same VM has answered an order of this term and is not expected
+  /// to go down.
   bool HasSuccessor(const WorkerRecord& record) const;
   /// Resets the view to a new incarnation of the worker, about which nothing is known yet.
   void ResetIncarnation(WorkerView& view, const WorkerRecord& record, Micros now);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -190,8 +190,11 @@
             {{"worker", sent.worker}, {"born_ms", std::to_string(view.incarnation)}},
             Severity::kWarning);
   }
-  view.lists_received = true;
+  const bool first_lists = !std::exchange(view.lists_received, true);
   view.confirmed = true;
+  if (first_lists && reply.incarnation_ms == view.incarnation) {
+    ConcludeOlderWorkers(view.known->record, wall, out);
+  }
   if (reply.incarnation_ms == view.incarnation) view.list_connection = reply.connection;
   view.acknowledgement_delivered = std::max(view.acknowledgement_delivered, sent.acknowledged_ends);
   view.proposed_ends = std::max(view.proposed_ends, sent.acknowledged_ends);
--- a/tests/foreign_report_test.cc
+++ b/tests/foreign_report_test.cc
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <string>
 
+#include "tests/manual_worker_fleet.h"
 #include "tests/print_cluster.h"
 
 // Tests reports of writers that are no workers, and what a report of a worker proves of others.
@@ -53,5 +54,26 @@
   }
 }
 
+// Guards against a second run beside the first: the report of a newer worker on the VM counted as
+// proof that the earlier one had ended, although nobody answered at its address.
+TEST_CASE("a report of a newer worker on the same VM that answers no order proves nothing") {
+  SingleWorkerFleet test;
+  test.StartAndList();
+  const auto work_on = [&] {
+    for (int i = 0; i < 6; ++i) {
+      test.Wait(kSecond);
+      test.Report(test.worker());
+    }
+    CHECK(test.Assigned(test.task));
+    CHECK(test.LastReason().empty());
+  };
+  test.Deliver(MakeForeignReport("print", "vm-1", test.Wall()));
+  work_on();
+  SECTION("nor does it to the next leader") {
+    test.ChangeLeader();
+    work_on();
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
--- a/tests/manual_worker_fleet.h
+++ b/tests/manual_worker_fleet.h
@@ -107,7 +107,7 @@
   }
   /// Delivers the heartbeat and returns whether the fleet accepted it.
   bool Deliver(const jobs::HeartbeatCall& call) {
-    const bool accepted = fleet.OnHeartbeat(call, now, Wall(), out);
+    const bool accepted = fleet.OnHeartbeat(call, now);
     ProcessPending();
     return accepted;
   }
--- a/tests/run_conclusion_test.cc
+++ b/tests/run_conclusion_test.cc
@@ -354,8 +354,17 @@
                           .address = "worker-2:1",
                           .clock_set_at = test.now,
                           .initial_clock_ms = 1};
-  SECTION("proves that the previous worker and its runs have ended") {
+  // From here on the worker with this id answers its orders.
+  const auto report_and_answer = [&] {
+    test.workers[other.id] = other;
+    test.Report(test.workers.at(other.id));
+    test.Wait(20 * kMillisecond);
+  };
+  SECTION("proves that the previous worker and its runs have ended, once it has answered") {
     test.Report(other);
+    CHECK(test.Assigned(test.task));
+    report_and_answer();
+    test.Wait(kSecond);
     CHECK(test.Waiting(test.task));
     CHECK(test.LastReason() == "succeeded");
     SECTION("and the previous one gets no more tasks when its heartbeat arrives late") {
@@ -365,16 +374,16 @@
   }
   SECTION("proves nothing if it is older and its heartbeat was delayed") {
     other.incarnation_ms = test.worker().incarnation_ms - 1;
-    test.Report(other);
+    report_and_answer();
     test.Wait(kSecond);
     CHECK(test.Assigned(test.task));
   }
   SECTION("proves nothing if it is on another VM or names no VM") {
     other.vm = "vm-2";
-    test.Report(other);
+    report_and_answer();
     other.id = "worker-3";
     other.vm = "";
-    test.Report(other);
+    report_and_answer();
     test.Wait(kSecond);
     CHECK(test.Assigned(test.task));
   }
@@ -433,15 +442,17 @@
     CHECK(test.fleet.IsUsable(kWorker, test.now));
     CHECK(test.reasons.empty());
   }
-  SECTION("and its runs have ended when a newer one reports from its VM") {
+  SECTION("and its runs have ended when a newer one reports from its VM and answers") {
     test.Wait(kSecond);
-    WorkerIncarnation next{.id = "worker-2",
-                           .incarnation_ms = test.Wall(),
-                           .vm = "vm-1",
-                           .address = "worker-2:1",
-                           .clock_set_at = test.now,
-                           .initial_clock_ms = 1};
+    WorkerIncarnation& next = test.workers["worker-2"];
+    next = {.id = "worker-2",
+            .incarnation_ms = test.Wall(),
+            .vm = "vm-1",
+            .address = "worker-2:1",
+            .clock_set_at = test.now,
+            .initial_clock_ms = 1};
     test.Report(next);
+    test.Wait(20 * kMillisecond);
     CHECK(test.Waiting(test.task));
   }
   SECTION("is not removed while one of its runs counts as running") {
