Let a suspected task wait for an empty worker only while that can help

Cause: a task under which a worker had crashed while it was alone there started on an empty worker only, for up to 20 s. The workers had lasting tasks of another job by then, and such workers do not become empty, so the wait could only run out. A second wait of the same kind was found: a task with two losses of which it is not known whether they were crashes was held for 12 s.

Change: a suspect waits only while a suited worker without lasting tasks can become empty, and 2 s at most, since a job must not be idle for 3 s beside room; it then starts beside others. Only a worker that empties itself is kept for it, and no longer than suspects wait. The hold begins at four possible crashes: two starts may follow three crashes, so that a fifth start is the last that needs a bound. crashing_task_test and its bound of two starts after three crashes passed unchanged.

--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -27,14 +27,15 @@
 constexpr int kMaxFutileOfPlan = 4'096;
 constexpr int kMinFutileExaminations = 4 * kScanCost;
 /// A suspect starts beside other tasks if no worker has become empty for this long after its latest
-/// loss.
-constexpr std::int64_t kAloneWaitMs = 20'000;
+/// loss: a job must not be idle for 3 s beside free room.
+constexpr std::int64_t kAloneWaitMs = 2'000;
 /// A planned start is in the state, or will not be, after this time.
 constexpr std::int64_t kApplyMs = 1'000;
 /// A long-running suspect gets company after this time.
 constexpr std::int64_t kLongRunningTrialMs = 6'000;
-/// A kept worker is released if no suspect waited for it for this long.
-constexpr std::int64_t kKeepMs = 1'000;
+/// A kept worker is released if no suspect waited for it for this long, which is longer than the
+/// time between two plans.
+constexpr std::int64_t kKeepMs = 400;
 
 /// Free resources of one worker, less the starts planned so far.
 struct WorkerRoom {
@@ -185,6 +186,11 @@
   return !room.in_trial && !room.has_start && room.worker->tasks.empty();
 }
 
+/// Whether the worker is empty once its tasks have ended, if it gets no others.
+bool EmptiesItself(const WorkerRoom& room) {
+  return !room.in_trial && room.worker->long_running_tasks == 0;
+}
+
 std::map<WorkerId, std::uint32_t> CountPerWorker(const StepRun& run) {
   std::map<WorkerId, std::uint32_t> counts;
   for (const Task& task : run.tasks) {
@@ -327,13 +333,17 @@
 
 bool PlanWalk::StartsAlone(const Candidate& candidate, const Task& task) const {
   if (!task.suspect() || task.given_up()) return false;
+  const auto any_suited = [&](const auto& is_right) {
+    return std::ranges::any_of(candidate.room->workers, [&](const WorkerRoom& room) {
+      return is_right(room) && Suits(candidate.Spec(), room.worker->record);
+    });
+  };
+  if (any_suited(IsEmpty)) return true;
   // A task that one worker has crashed under, beside others, is probably innocent: it does not
   // wait.
   const bool probably_innocent = task.crashes.size() == 1 && task.crashes_alone.empty();
-  const bool waits = !probably_innocent && input_.wall_ms < task.lost_ms + kAloneWaitMs;
-  return waits || std::ranges::any_of(candidate.room->workers, [&](const WorkerRoom& room) {
-           return IsEmpty(room) && Suits(candidate.Spec(), room.worker->record);
-         });
+  const bool may_wait = !probably_innocent && input_.wall_ms < task.lost_ms + kAloneWaitMs;
+  return may_wait && any_suited(EmptiesItself);
 }
 
 void PlanWalk::PlaceAlone(const Candidate& candidate, std::uint32_t index,
@@ -362,11 +372,10 @@
   }
   WorkerRoom* best = nullptr;
   const auto cost = [](const WorkerRoom& room) {
-    return std::tuple(room.worker->long_running_tasks > 0, room.has_start,
-                      room.worker->tasks.size());
+    return std::pair(room.has_start, room.worker->tasks.size());
   };
   for (WorkerRoom& room : service.workers) {
-    if (room.in_trial || !Suits(candidate.Spec(), room.worker->record)) continue;
+    if (!EmptiesItself(room) || !Suits(candidate.Spec(), room.worker->record)) continue;
     if (best == nullptr || cost(room) < cost(*best)) best = &room;
   }
   if (best == nullptr) return;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -31,8 +31,8 @@
 /// A task is given up once this many workers have crashed under it, alone or not.
 inline constexpr std::size_t kMaxCrashes = 4;
 /// A task that may have crashed this many workers is not started again for kCrashHoldMs, unless it
-/// becomes known before whether they have crashed.
-inline constexpr std::size_t kMaxLossesWithoutHold = 2;
+/// becomes known before whether they have crashed. At most two starts may follow three crashes.
+inline constexpr std::size_t kMaxLossesWithoutHold = 4;
 inline constexpr std::int64_t kCrashHoldMs = 12'000;
 
 struct Task {
