Count a job as pending until a worker has begun one of its tasks

Cause: the state set the job's phase to running when a task was assigned, before its start was sent, and nothing set it back when the worker refused. A start that a silent worker leaves open has the same effect.

Change: the leader keeps the jobs with assigned tasks of which no worker is known to have begun one, by the answers to starts and the run lists (`UnbegunJobs`). They count as pending and are shown as queued. That a job has begun is recorded with the end of its run; a job whose starts were all refused is queued again. Costs one look-up for each start, end and first listing, and no entry of the log. A new leader counts inherited jobs as pending until their workers have sent their lists, which errs to the side that the rule allows.

--- a/control/leader.h
+++ b/control/leader.h
@@ -105,7 +105,10 @@
   /// proposed.
   bool MayRefuse(JobId job) const;
   std::string CheckSpec(const JobSpec& spec) const;
+  /// Number of the queue's jobs of which no worker is known to have begun a task.
   Answer CountPending(const Queue& queue) const;
+  /// The phase that clients see: a job is running once a worker has begun one of its tasks.
+  Answer PhaseOf(const Job& job) const;
   bool NamesKnownService(const WorkerRecord& record, const Worker* known) const;
   void ObserveCommand(const AppliedCommand& applied, Micros now);
   /// Tells the planner which jobs a command has changed.
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -25,11 +25,6 @@
   return count * spec.occurrences() > limit;
 }
 
-Answer PhaseOf(const Job& job) {
-  return {.content = AnswerContent::kJobPhase,
-          .text = std::string(NameOf(kJobPhaseNames, job.phase))};
-}
-
 }  // namespace
 
 void Leader::Refuse(const JobCall& call, const CallRequest& request, Answer refusal,
@@ -133,7 +128,14 @@
 }
 
 Answer Leader::CountPending(const Queue& queue) const {
-  return {.content = AnswerContent::kPending, .number = state_.QueuedJobs(queue.name)};
+  return {.content = AnswerContent::kPending,
+          .number = state_.QueuedJobs(queue.name) + fleet_.unbegun_jobs().Count(queue.name)};
+}
+
+Answer Leader::PhaseOf(const Job& job) const {
+  const bool unbegun = job.phase == JobPhase::kRunning && fleet_.unbegun_jobs().Contains(job.id);
+  const JobPhase phase = unbegun ? JobPhase::kQueued : job.phase;
+  return {.content = AnswerContent::kJobPhase, .text = std::string(NameOf(kJobPhaseNames, phase))};
 }
 
 /// Whether the service of the record is in the configuration, or was when the worker first reported
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -43,6 +43,7 @@
   sent_orders_.clear();
   starts_in_flight_ = 0;
   ClearViews();
+  unbegun_jobs_.Clear();
   for (const auto& [id, worker] : state_.workers()) {
     WorkerView& view = AddView(id);
     ResetIncarnation(view, worker.record, now);
@@ -58,6 +59,7 @@
       const Task& task = *state_.FindTask(task_id);
       const bool unwanted = task.done_by_earlier_run || !state_.FindJob(task_id.job)->active();
       view.runs[task_id] = {.run = task.run, .stop_wanted = unwanted};
+      unbegun_jobs_.Update(task_id.job);
     }
   }
 }
@@ -311,6 +313,7 @@
 void WorkerFleet::OnApplied(const Command& command, ApplyOutcome outcome, Micros now, WallMs wall,
                             Outbox& out) {
   if (fencing_token_ == 0) return;
+  unbegun_jobs_.OnApplied(command);
   if (const auto* assign = std::get_if<Assign>(&command)) {
     WorkerView* view = FindView(assign->worker);
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "control/events.h"
+#include "control/unbegun_jobs.h"
 #include "jobs/planner.h"
 #include "jobs/state.h"
 
@@ -36,7 +37,7 @@
   using Propose = std::function<void(Command)>;
 
   WorkerFleet(FleetOptions options, const State& state, Propose propose)
-      : options_(options), state_(state), propose_(std::move(propose)) {}
+      : options_(options), state_(state), propose_(std::move(propose)), unbegun_jobs_(state) {}
 
   /// Begins a term of this node as leader. `fencing_token` must exceed those of all earlier
   /// leaders.
@@ -76,6 +77,8 @@
   /// nothing if it has not learned so.
   std::optional<Micros> RunTime(const WorkerId& worker, const TaskId& task, std::uint32_t run,
                                 Micros now) const;
+  /// The jobs with assigned tasks of which no worker is known to have begun one.
+  const UnbegunJobs& unbegun_jobs() const { return unbegun_jobs_; }
   /// Number of start orders that have not been answered yet.
   std::size_t StartsInFlight() const { return starts_in_flight_; }
   /// Whether the worker sent a leave call or its VM was taken down, and it has not answered a
@@ -127,6 +130,7 @@
     bool stop_in_flight = false;
     Micros stop_due = 0;  // earliest time of the next stop order
     std::optional<Micros> stop_answered_at;
+    bool begun = false;  // the worker answered the start or listed the run
     bool end_proposed = false;
     std::uint32_t speed_percent = 0;
     std::int64_t load_metric = 0;
@@ -265,6 +269,8 @@
   /// Proposes the run's end, which the worker did not list, with the given reason.
   void Conclude(const WorkerId& worker, WorkerView& view, const TaskId& task, Run& run,
                 Conclusion conclusion, WallMs wall, Outbox& out);
+  /// Records that the worker has begun the run.
+  void SetBegun(const TaskId& task, Run& run);
   /// Whether the long-running task had worked for a while when the worker was last heard.
   bool HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const;
   void ConcludeAll(const WorkerId& worker, WorkerView& view, Conclusion conclusion, WallMs wall,
@@ -288,6 +294,7 @@
   FleetOptions options_;
   const State& state_;
   Propose propose_;
+  UnbegunJobs unbegun_jobs_;
   std::uint64_t fencing_token_ = 0;  // 0: not leading
   Micros term_began_ = 0;
   std::uint64_t next_token_ = 1;
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -118,6 +118,7 @@
   };
   switch (reply.outcome) {
     case OrderOutcome::kDone:
+      SetBegun(sent.task, run);
       if (sent.incarnation == view.incarnation) {
         run.phase = RunPhase::kRunning;
         run.started_at = now;
@@ -246,6 +247,7 @@
   for (const RunningTask& listed : reply.running) {
     const auto run = view.runs.find(listed.task);
     if (run != view.runs.end() && run->second.run == listed.run) {
+      SetBegun(listed.task, run->second);
       if (run->second.phase != RunPhase::kRunning) {
         run->second.phase = RunPhase::kRunning;
         run->second.started_at = now;
@@ -311,7 +313,13 @@
                      .run = run.run,
                      .kind = kind,
                      .wall_ms = wall,
-                     .had_worked = HadWorked(view, task, run)});
+                     .had_worked = HadWorked(view, task, run),
+                     .begun = run.begun});
+}
+
+void WorkerFleet::SetBegun(const TaskId& task, Run& run) {
+  if (std::exchange(run.begun, true)) return;
+  unbegun_jobs_.OnBegun(task.job);
 }
 
 bool WorkerFleet::HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const {
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -56,7 +56,10 @@
   /// A long-running task had worked for a while in this run: if its worker crashed, the task is not
   /// the cause.
   bool had_worked = false;
-  MSGPACK_DEFINE(worker, incarnation_ms, number, task, run, kind, checkpoint, wall_ms, had_worked)
+  /// The leader knew that the worker had begun the run. Certain too if `number` is set.
+  bool begun = false;
+  MSGPACK_DEFINE(worker, incarnation_ms, number, task, run, kind, checkpoint, wall_ms, had_worked,
+                 begun)
 };
 
 /// Adds a worker, or updates its record or incarnation.
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -329,6 +329,7 @@
   Job& job = jobs_.at(command.task.job);
   const bool current = task->phase == TaskPhase::kAssigned && task->run == command.run &&
                        task->worker == command.worker;
+  if (command.number != 0 || command.begun) job.begun = true;
   if (command.number != 0) {
     // The worker lists the end, so it has not crashed during the run.
     const auto lost = worker->second.lost_runs.find(command.task);
@@ -345,6 +346,7 @@
   } else if (command.number != 0) {
     ApplyEarlierEnd(job, command.task, *task, command);
   }
+  if (job.active() && job.assigned == 0 && !job.begun) job.phase = JobPhase::kQueued;
   UpdateIndexes(job);
   if (!job.active() && job.assigned == 0) DropDetails(job);
   return ApplyOutcome::kApplied;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -91,8 +91,9 @@
   std::int64_t ended_ms = 0;     // Unix time; 0 while the job is active
   std::vector<StepRun> steps;    // those of the first occurrence, then of the next
   std::uint32_t assigned = 0;    // number of tasks that may be running
+  bool begun = false;            // the end of a run that a worker had begun was recorded
   MSGPACK_DEFINE(id, queue, service, team, attempts, spec, critical_path_ms, phase, accepted_ms,
-                 ended_ms, steps, assigned)
+                 ended_ms, steps, assigned, begun)
 
   // What the state's totals count for this job. Derived, not stored.
   bool counted_as_queued = false;
@@ -186,7 +187,7 @@
   const std::map<JobId, const Job*>& startable_long_running_jobs() const {
     return Scan(startable_long_running_jobs_);
   }
-  /// Number of the queue's jobs none of whose tasks has started.
+  /// Number of the queue's jobs none of whose tasks is assigned or has started.
   std::size_t QueuedJobs(const std::string& queue) const;
   /// Estimated work of open jobs by the services of their acceptance, in core-milliseconds, without
   /// long-running, best-effort and repeated work. Running tasks count half.
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -186,7 +186,13 @@
 inline constexpr EnumNames<8> kEndKindNames = {"done",   "failed", "stopped", "lapsed",
                                                "broken", "alone",  "lost",    "refused"};
 
-enum class JobPhase : std::uint8_t { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+enum class JobPhase : std::uint8_t {
+  kQueued,
+  kRunning,  // a task is assigned, or a worker has begun one
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
 inline constexpr EnumNames<5> kJobPhaseNames = {"queued", "running", "completed", "failed",
                                                 "cancelled"};
 
