Read the settings file that GODWITPADDLE_NODE_FILE names

What is certain: DEPLOY.md says that this variable holds the path of the settings file, and no source read it.

An empty variable counts as none.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -13,6 +13,7 @@
 
 #include "daemon/fleet_process.h"
 #include "daemon/process.h"
+#include "platform/settings_file.h"
 #include "runtime/file_descriptor.h"
 #include "runtime/http_platform.h"
 #include "runtime/log.h"
@@ -52,7 +53,9 @@
        "run a node of the request service with this settings file", "FILE"},
       {"check", 0, POPT_ARG_STRING, &check, 0,
        "check a settings file of the request service and exit", "FILE"},
-      {"fleet", 0, POPT_ARG_STRING, &fleet, 0, "run a node of job control with this settings file",
+      {"fleet", 0, POPT_ARG_STRING, &fleet, 0,
+       "run a node of job control with this settings file, or with the one that "
+       "GODWITPADDLE_NODE_FILE names",
        "FILE"},
       {"check-fleet", 0, POPT_ARG_STRING, &check_fleet, 0,
        "check a settings file of job control and exit", "FILE"},
@@ -72,6 +75,8 @@
   if (check != nullptr) arguments.check = check;
   if (fleet != nullptr) arguments.fleet = fleet;
   if (check_fleet != nullptr) arguments.check_fleet = check_fleet;
+  const char* named = std::getenv(platform::kSettingsFileVariable);
+  if (!arguments.fleet.empty() && named != nullptr && *named != '\0') arguments.fleet = named;
   arguments.version = version != 0;
   std::free(config);
   std::free(check);
