Try again to listen while another process holds the port

A process that was told to stop holds its ports until it is gone, so a prompt restart, and a VM with many nodes, can meet this.

Change: each listener (clients, readiness, control, metrics, peers) is tried again every 100 ms for 10 s, with a log line `listen_retry` a second.

--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -17,6 +17,7 @@
 #include "runtime/file_descriptor.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "runtime/listen_retry.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/peer_link.h"
@@ -77,6 +78,16 @@
           .initial = jobs::InitialGroup(seeds)};
 }
 
+/// Opens a listener, and tries again for a while if its port is taken.
+template <typename Listener, typename Options, typename... Arguments>
+std::unique_ptr<Listener> Listen(const Options& options, const Arguments&... arguments) {
+  std::unique_ptr<Listener> listener;
+  RetryListening(options.address,
+                 [&] { listener = std::make_unique<Listener>(options, arguments...); },
+                 {.should_give_up = IsTerminationPending});
+  return listener;
+}
+
 HttpServerOptions MakeServerOptions(const std::string& address) {
   return {.address = address,
           .max_body_bytes = kMaxBodyBytes,
@@ -164,20 +175,20 @@
 }
 
 void FleetProcess::Impl::MakePeers() {
-  peers = std::make_unique<PeerLink>(
-      PeerLinkOptions{.address = settings.peer_address(),
-                      .header = {.group = kFirstGroup, .sender = settings.node},
-                      .seed = RandomBits()},
-      [this](PeerMessage message) {
-        driver->mailbox().Push(PeerEvent{.message = std::move(message)});
-      });
+  peers =
+      Listen<PeerLink>(PeerLinkOptions{.address = settings.peer_address(),
+                                       .header = {.group = kFirstGroup, .sender = settings.node},
+                                       .seed = RandomBits()},
+                       [this](PeerMessage message) {
+                         driver->mailbox().Push(PeerEvent{.message = std::move(message)});
+                       });
 }
 
 void FleetProcess::Impl::MakeServers() {
   const std::string& address =
       settings.role == FleetRole::kCore ? settings.control_address : settings.client_address;
   if (!address.empty()) {
-    http_server = std::make_unique<HttpServer>(
+    http_server = Listen<HttpServer>(
         MakeServerOptions(address),
         HttpServer::Handlers{.deliver = [this](const HttpEvent& event) { return Deliver(event); },
                              .client_closed =
@@ -187,14 +198,14 @@
                                  }});
   }
   if (!settings.readiness_address.empty()) {
-    readiness_server = std::make_unique<HttpServer>(
+    readiness_server = Listen<HttpServer>(
         MakeServerOptions(settings.readiness_address),
         HttpServer::Handlers{.respond_locally = [this](const HttpEvent& request) {
           const bool is_ready = ready && platform::IsReadinessRequest(request);
           return std::optional(RespondEffect{.status = is_ready ? 200 : 503});
         }});
   }
-  metrics_server = std::make_unique<HttpServer>(
+  metrics_server = Listen<HttpServer>(
       MakeServerOptions(settings.metrics_address()),
       HttpServer::Handlers{.respond_locally = [this](const HttpEvent& request) {
         if (request.path != "/metrics") return std::optional(RespondEffect{.status = 404});
