Bound the numbers of workers, clients and the VM service, and skip odd VMs

What operators of similar systems saw: one odd entry among those of the workers, deeply nested, with a number too large or a port out of range, and the machines that read the list ended again and again, or stopped following it.

What happened here: no process ended, but (1) one entry of the list of VMs that cannot be read made the whole list unreadable, for as long as it was there: no VM was moved. (2) In a worker's run lists -1 as the number of an end became 2^64-1, so that all its later ends were dropped; a run number of 2^32+2 became 2; `true` became 1. (3) A job that depends on step 2^32 depended on step 0, and estimates near 2^63 overflowed when they were added.

Change: an entry of the list of VMs that cannot be read is skipped, counted and logged (`vm_entries_unreadable`). A run list is still read as a whole or not at all, since a missing row would look like an ended run; its numbers, its clock and `born` must be in range. Figures that are only rough are cut to their range.

--- a/control/vm_orders.cc
+++ b/control/vm_orders.cc
@@ -201,6 +201,10 @@
     partial_list_.clear();
     return;
   }
+  if (reply.unreadable > 0) {
+    out.Log("vm_entries_unreadable", {{"entries", std::to_string(reply.unreadable)}},
+            Severity::kWarning);
+  }
   for (const VmRecord& vm : reply.vms) partial_list_[vm.vm] = vm;
   next_page_ = reply.next_page;
   if (!next_page_.empty()) return;
--- a/jobs/orders.h
+++ b/jobs/orders.h
@@ -175,8 +175,9 @@
 
 struct VmReply {
   VmOutcome outcome = VmOutcome::kUnknown;
-  std::vector<VmRecord> vms;  // of a ListVms order
-  std::string next_page;      // token of the next page of the list; empty: this is the last page
+  std::vector<VmRecord> vms;   // of a ListVms order
+  std::size_t unreadable = 0;  // entries of the list that name no VM
+  std::string next_page;       // token of the next page of the list; empty: this is the last page
 };
 
 struct VmEffect {
--- a/tests/order_wire_test.cc
+++ b/tests/order_wire_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -30,11 +31,34 @@
   return found == object.end() || found->is_null() ? nullptr : &*found;
 }
 
-std::int64_t IntegerIn(const Json& object, const char* key) {
+constexpr std::int64_t kLargest = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t kLargestTimeMs = 10'000'000'000'000;
+
+/// Returns an integer of at least `low` and at most `high`.
+std::int64_t IntegerFrom(const Json& value, std::int64_t low, std::int64_t high) {
+  if (!value.is_number_integer()) throw std::runtime_error("not an integer");
+  const bool fits = !value.is_number_unsigned() ||
+                    value.get<std::uint64_t>() <= static_cast<std::uint64_t>(kLargest);
+  if (!fits || value.get<std::int64_t>() < low || value.get<std::int64_t>() > high) {
+    throw std::runtime_error("out of range");
+  }
+  return value.get<std::int64_t>();
+}
+
+std::int64_t TimeIn(const Json& object, const char* key) {
   const Json* value = FindValue(object, key);
-  if (value == nullptr) return 0;
-  if (!value->is_number_integer()) throw std::runtime_error("not an integer");
-  return value->get<std::int64_t>();
+  return value == nullptr ? 0 : IntegerFrom(*value, 0, kLargestTimeMs);
+}
+
+std::uint32_t RunFrom(const Json& value) {
+  return static_cast<std::uint32_t>(
+      IntegerFrom(value, 1, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/// Returns a figure that need not be whole, cut to the range from 0 to `high`.
+std::int64_t FigureFrom(const Json& value, double high) {
+  if (!value.is_number()) throw std::runtime_error("not a number");
+  return static_cast<std::int64_t>(std::min(high, std::max(0.0, value.get<double>())));
 }
 
 jobs::TaskId TaskIn(const Json& value) { return jobs::ParseTask(value.get<std::string>()).value(); }
@@ -63,8 +87,8 @@
   jobs::OrderReply reply;
   const Json json = Json::parse(body);
   if (!json.is_object()) throw std::runtime_error("not an object");
-  reply.clock_ms = IntegerIn(json, "clock_ms");
-  reply.incarnation_ms = IntegerIn(json, "born");
+  reply.clock_ms = TimeIn(json, "clock_ms");
+  reply.incarnation_ms = TimeIn(json, "born");
   if (const Json* reason = FindValue(json, "reason")) {
     const auto index =
         IndexOf({"", "fence", "old", "late", "room", "ticket"}, reason->get<std::string>());
@@ -74,19 +98,19 @@
   for (const Json& one : ListIn(json, "running")) {
     const Json& row = RowOf(one, 4);
     jobs::RunningTask running{.task = TaskIn(row[0]),
-                              .run = row[1].get<std::uint32_t>(),
+                              .run = RunFrom(row[1]),
                               .checkpoint = row[2].get<std::string>(),
-                              .speed_percent = row[3].get<std::uint32_t>()};
-    if (row.size() > 4 && row[4].is_number()) running.load_metric = row[4].get<std::int64_t>();
+                              .speed_percent = static_cast<std::uint32_t>(FigureFrom(row[3], 1e9))};
+    if (row.size() > 4 && row[4].is_number()) running.load_metric = FigureFrom(row[4], 1e12);
     reply.running.push_back(running);
   }
   for (const Json& one : ListIn(json, "finished_runs")) {
     const Json& row = RowOf(one, 5);
     const auto kind = IndexOf({"done", "failed", "stopped", "lapsed", "broken", "alone"},
                               row[3].get<std::string>());
-    reply.ended.push_back({.number = row[0].get<std::uint64_t>(),
+    reply.ended.push_back({.number = static_cast<std::uint64_t>(IntegerFrom(row[0], 1, kLargest)),
                            .task = TaskIn(row[1]),
-                           .run = row[2].get<std::uint32_t>(),
+                           .run = RunFrom(row[2]),
                            .kind = static_cast<jobs::EndKind>(kind.value()),
                            .checkpoint = row[4].get<std::string>()});
   }
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -205,5 +205,80 @@
   }
 }
 
+// Guards against numbers that were cut to their low bits or wrapped around: the run or the end of
+// another number counted, and all later ends of the worker were dropped.
+TEST_CASE("a run list with a number out of range makes the outcome unknown") {
+  const auto outcome = [](const std::string& running, const std::string& ended,
+                          const std::string& clock) {
+    const std::string body = R"({"clock_ms":)" + clock + R"(,"born":9,"running":[)" + running +
+                             R"(],"finished_runs":[)" + ended + "]}";
+    return DecodeOrderReply(jobs::RenewLeaseOrder{},
+                            {.end = TransferEnd::kAnswered, .status = 200, .body = body})
+        .outcome;
+  };
+  const std::string running = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41,7])";
+  const std::string ended = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done","s"])";
+  REQUIRE(outcome(running, ended, "3") == jobs::OrderOutcome::kDone);
+  CHECK(outcome(Replaced(running, ",7]", ",1e300]"), ended, "3") == jobs::OrderOutcome::kDone);
+  for (const char* odd : {"-1", "4294967298", "18446744073709551615", "1e30", "true", "null",
+                          "\"2\"", "2.5", "[[[[2]]]]"}) {
+    INFO(odd);
+    CHECK(outcome(Replaced(running, ",2,", std::string(",") + odd + ","), ended, "3") ==
+          jobs::OrderOutcome::kUnknown);
+    CHECK(outcome(running, Replaced(ended, ",1,", std::string(",") + odd + ","), "3") ==
+          jobs::OrderOutcome::kUnknown);
+  }
+  for (const char* odd : {"-1", "0", "18446744073709551615", "1e30", "false"}) {
+    INFO(odd);
+    CHECK(outcome(running, Replaced(ended, "58", odd), "3") == jobs::OrderOutcome::kUnknown);
+  }
+  for (const char* odd : {"-1", "9223372036854775807", "18446744073709551615", "\"3\""}) {
+    INFO(odd);
+    CHECK(outcome(running, ended, odd) == jobs::OrderOutcome::kUnknown);
+  }
+}
+
+// Guards against a list of VMs that is never read because one of its entries is of another writer.
+TEST_CASE("one odd entry in the list of VMs does not hide the others") {
+  const std::string good =
+      R"({"machine":"m1","pool":"p","state":"up","zone":"a","labels":["a","r1"],)"
+      R"("capacity":{"cpu":16000,"mem_mb":1,"gpu":0},"id":"i-1"})";
+  const auto list = [](const std::string& entries) {
+    const HttpResult result{.end = TransferEnd::kAnswered,
+                            .status = 200,
+                            .body = R"({"machines":[)" + entries + R"(],"next_token":null})"};
+    return DecodeVmReply(jobs::ListVms{}, result);
+  };
+  const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+  for (const std::string& odd :
+       {std::string("7"), std::string("{}"), std::string("null"), deep,
+        Replaced(good, "16000", "1e30"), Replaced(good, "16000", "18446744073709551615"),
+        Replaced(good, "\"up\"", "\"asleep\""), Replaced(good, "\"m1\"", "\"\""),
+        Replaced(good, "[\"a\",\"r1\"]", "[7]")}) {
+    const jobs::VmReply reply = list(Replaced(good, "m1", "m0") + "," + odd + "," + good);
+    CHECK(reply.outcome == jobs::VmOutcome::kDone);
+    REQUIRE(reply.vms.size() == 2);
+    CHECK(reply.vms[0].vm == "m0");
+    CHECK(reply.vms[1].vm == "m1");
+    CHECK(reply.unreadable == 1);
+  }
+}
+
+// Guards against a job whose numbers overflow later, or that depends on another step than it says.
+TEST_CASE("a job with a number out of range is rejected") {
+  const auto status = [](const std::string& step) {
+    return StatusOf(DecodeClientRequest(
+        MakeRequest("POST", "/q/5c0e7a21d94b36f8", R"({"steps":[{"count":1},{)" + step + "}]}")));
+  };
+  REQUIRE(status(R"("count":1,"depends_on":[0],"estimate_ms":900)") == 0);
+  for (const char* step :
+       {R"("depends_on":[4294967296])", R"("depends_on":[-1])", R"("estimate_ms":-1)",
+        R"("estimate_ms":9223372036854775807)", R"("cpu":9223372036854775807)",
+        R"("cpu":18446744073709551615)", R"("mem_mb":-1)", R"("target_ms":1e30)"}) {
+    INFO(step);
+    CHECK(status(step) == 400);
+  }
+}
+
 }  // namespace
 }  // namespace godwitpaddle::platform
