Pause a lasting task whose workers crash again and again, and keep its job

Cause: a task under which three workers had crashed alone, or four in all, ended its job as failed, also a lasting one, and the end of a job stops all its tasks, without regard to how many may be away.

Change: a lasting task pauses instead, 12 s after the third crash, twice as long after each further one; its job and its other tasks go on. It is not held for unexplained losses any more.

--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -313,7 +313,8 @@
   bool full = false;  // no worker has room for a task that is not a suspect
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
     const Task& task = run.tasks[index];
-    if (task.phase != TaskPhase::kWaiting || task.held(input_.wall_ms)) continue;
+    const bool waits = step.long_running ? task.paused(input_.wall_ms) : task.held(input_.wall_ms);
+    if (task.phase != TaskPhase::kWaiting || waits) continue;
     if (starts_.size() >= input_.max_starts || !WithinLimit(*candidate.team, step.size)) return;
     if (StartsAlone(candidate, task)) {
       PlaceAlone(candidate, index, per_worker);
@@ -332,7 +333,7 @@
 }
 
 bool PlanWalk::StartsAlone(const Candidate& candidate, const Task& task) const {
-  if (!task.suspect() || task.given_up()) return false;
+  if (!task.suspect() || (task.given_up() && !candidate.Spec().long_running)) return false;
   const auto any_suited = [&](const auto& is_right) {
     return std::ranges::any_of(candidate.room->workers, [&](const WorkerRoom& room) {
       return is_right(room) && Suits(candidate.Spec(), room.worker->record);
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -275,7 +275,7 @@
   if (!job.active() || task->phase != TaskPhase::kWaiting || command.run <= task->run) {
     return ApplyOutcome::kRejected;
   }
-  if (task->given_up()) {
+  if (task->given_up() && !job.spec.steps[command.task.step].long_running) {
     EndJob(job, JobPhase::kFailed, task->lost_ms);
     UpdateIndexes(job);
     return ApplyOutcome::kRejected;
@@ -363,8 +363,8 @@
   if (!end.checkpoint.empty() && step.checkpoints) task.checkpoint = end.checkpoint;
   if (!job.active()) return;
   const bool done = end.kind == EndKind::kDone || task.done_by_earlier_run;
-  if (task.given_up() && !done) return EndJob(job, JobPhase::kFailed, end.wall_ms);
   if (step.long_running) return;
+  if (task.given_up() && !done) return EndJob(job, JobPhase::kFailed, end.wall_ms);
   CountFailure(task, end);
   if (end.kind == EndKind::kDone || task.done_by_earlier_run) {
     return CompleteTask(job, id, task, end);
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -1,6 +1,8 @@
 #ifndef GODWITPADDLE_JOBS_STATE_H_
 #define GODWITPADDLE_JOBS_STATE_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -34,6 +36,10 @@
 /// becomes known before whether they have crashed. At most two starts may follow three crashes.
 inline constexpr std::size_t kMaxLossesWithoutHold = 4;
 inline constexpr std::int64_t kCrashHoldMs = 12'000;
+/// First pause of a long-running task after kMaxCrashesAlone crashes, alone or not. Its job never
+/// fails: the other tasks of the step are at work.
+inline constexpr std::int64_t kCrashPauseMs = 12'000;
+inline constexpr std::size_t kMaxPauseDoublings = 4;
 
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -58,10 +64,17 @@
 
   /// Whether the task may have crashed a worker: it is started where it can harm least.
   bool suspect() const { return !crashes.empty(); }
-  /// Whether so many workers have crashed under the task that its job fails.
+  /// Whether so many workers have crashed under the task that it is given up: its job fails, or, if
+  /// it is long-running, it pauses.
   bool given_up() const {
     return crashes_alone.size() >= kMaxCrashesAlone || crashes.size() >= kMaxCrashes;
   }
+  /// Whether a long-running task pauses after its latest loss. The pause doubles with each crash.
+  bool paused(std::int64_t wall_ms) const {
+    if (crashes.size() < kMaxCrashesAlone) return false;
+    const std::size_t doublings = std::min(crashes.size() - kMaxCrashesAlone, kMaxPauseDoublings);
+    return wall_ms < lost_ms + (kCrashPauseMs << doublings);
+  }
   /// Whether the next start has to wait until more is known about the losses.
   bool held(std::int64_t wall_ms) const {
     return !given_up() && !unexplained_losses.empty() &&
