Keep a run whose listed end the log rejects

Cause: the leader proposed an end that a worker had listed while the record of the next incarnation was proposed and not applied. The state rejects the end, which is of an earlier incarnation; the leader forgot the run whatever the outcome, and the task stayed assigned for good.

Change: a rejected end of a run that is still assigned leaves the run in the leader's view; the new incarnation's lists then prove that it has ended. Proposals whose outcome is not looked at were sought elsewhere: assignments and removals check it.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -35,6 +35,13 @@
   return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
 }
 
+/// Whether the state has the task assigned to this worker in this run.
+bool IsCurrentRun(const State& state, const RecordEnd& end) {
+  const Task* task = state.FindTask(end.task);
+  return task != nullptr && task->phase == TaskPhase::kAssigned && task->run == end.run &&
+         task->worker == end.worker;
+}
+
 }  // namespace
 
 void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now, WallMs wall) {
@@ -332,6 +339,12 @@
     if (view == nullptr) return;
     const auto run = view->runs.find(end->task);
     if (run == view->runs.end() || run->second.run != end->run) return;
+    if (outcome == ApplyOutcome::kRejected && IsCurrentRun(state_, *end)) {
+      // Listed by an incarnation that another one had replaced in the log before.
+      run->second.end_proposed = false;
+      view->runs_due = 0;
+      return;
+    }
     view->runs.erase(run);
     CountEnd(*view, end->kind, now);
   } else if (const auto* update = std::get_if<RecordWorker>(&command)) {
--- a/tests/incarnation_test.cc
+++ b/tests/incarnation_test.cc
@@ -64,6 +64,27 @@
   }
 }
 
+// Guards against a task that stays assigned for good, beside free room: the end that its worker had
+// listed reached the log after the record of the next incarnation, and was rejected.
+TEST_CASE("an end that is rejected because its incarnation has been replaced frees the task") {
+  SingleWorkerFleet test;
+  test.StartAndList();
+  test.Silence();
+  const OrderEffect renewal = test.NextLeaseRenewal();
+  test.ListAsEnded(GENERATE(EndKind::kDone, EndKind::kFailed, EndKind::kStopped));
+  const jobs::OrderReply lists = test.MakeLists(test.worker());
+  WorkerIncarnation& current = test.Restart(kWorker);
+  // Both are proposed before either is applied.
+  test.fleet.OnHeartbeat(test.MakeReport(current), test.now);
+  test.fleet.OnReply({.token = renewal.token, .reply = lists}, test.now, test.Wall(), test.out);
+  test.ProcessPending();
+  REQUIRE(test.state.FindWorker(kWorker)->record.incarnation_ms == current.incarnation_ms);
+  REQUIRE(test.Assigned(test.task));
+  test.silent_workers.clear();
+  test.Wait(2 * kSecond);
+  CHECK(test.Waiting(test.task));
+}
+
 // Guards against starts on a new incarnation whose kind and service may differ from those recorded
 // for the previous one.
 TEST_CASE("an incarnation that is known only from its run lists gets no tasks") {
