--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -255,7 +255,9 @@
         Replaced(good, "16000", "1e30"), Replaced(good, "16000", "18446744073709551615"),
         Replaced(good, "\"up\"", "\"asleep\""), Replaced(good, "\"m1\"", "\"\""),
         Replaced(good, "[\"a\",\"r1\"]", "[7]")}) {
-    const jobs::VmReply reply = list(Replaced(good, "m1", "m0") + "," + odd + "," + good);
+    std::string entries = Replaced(good, "m1", "m0");
+    entries.append(",").append(odd).append(",").append(good);
+    const jobs::VmReply reply = list(entries);
     CHECK(reply.outcome == jobs::VmOutcome::kDone);
     REQUIRE(reply.vms.size() == 2);
     CHECK(reply.vms[0].vm == "m0");
