Log why a task that could run is not started

Once a second the leader examines up to 64 startable jobs that have nothing running, and waiting long-running tasks, and logs what keeps them: task_waits, with the workers that have room and why they get no tasks. The checks of room and of usable workers are now one function each, used by the report too; no decision changes.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -67,7 +67,8 @@
       maintenance_(options_.maintenance, state, fleet_, orders_,
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, orders_, maintenance_, demand_),
-      planner_(state) {}
+      planner_(state),
+      wait_report_(state, fleet_, [this] { return CordonedVms(); }) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
   term_ = term;
@@ -80,6 +81,7 @@
   maintenance_.BeginTerm(now);
   pools_.BeginTerm();
   planner_.Reset();
+  wait_report_.BeginTerm();
   plan_due_ = true;
   out.Log("leadership_began", {{"term", std::to_string(term)},
                                {"configuration", std::to_string(state_.configuration().version)},
@@ -251,6 +253,7 @@
   if (due && now >= next_plan_ && unapplied_starts_ == 0) {
     Measure("section_plan_us", out, [&] { Plan(now, wall, out); });
   }
+  wait_report_.Tick(now, wall, out);
   LogLoad(now, out);
 }
 
@@ -281,6 +284,13 @@
           Severity::kWarning);
 }
 
+std::unordered_set<std::string_view> Leader::CordonedVms() const {
+  std::unordered_set<std::string_view> vms;
+  maintenance_.AddCordonedVms(vms);
+  pools_.AddCordonedVms(vms);
+  return vms;
+}
+
 void Leader::Plan(Micros now, WallMs wall, Outbox& out) {
   plan_due_ = false;
   next_plan_ = now + PlanPause(state_);
@@ -288,11 +298,7 @@
   if (in_flight >= kMaxStartsInFlight) return;
   std::optional<std::unordered_set<std::string_view>> cordoned_vms;
   const auto usable = [&](const std::string& service) {
-    if (!cordoned_vms) {
-      cordoned_vms.emplace();
-      maintenance_.AddCordonedVms(*cordoned_vms);
-      pools_.AddCordonedVms(*cordoned_vms);
-    }
+    if (!cordoned_vms) cordoned_vms = CordonedVms();
     const auto& cordoned = *cordoned_vms;
     auto workers = fleet_.UsableWorkers(service, now);
     std::erase_if(
--- a/control/leader.h
+++ b/control/leader.h
@@ -6,12 +6,15 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "control/events.h"
 #include "control/maintenance.h"
 #include "control/pool_scaler.h"
 #include "control/vm_orders.h"
+#include "control/wait_report.h"
 #include "control/worker_fleet.h"
 #include "jobs/planner.h"
 #include "jobs/state.h"
@@ -121,6 +124,8 @@
   void LogStarts(const std::vector<Assign>& starts, WallMs wall, Outbox& out) const;
   void StopEndedJob(JobId id, Micros now, Outbox& out);
   void Plan(Micros now, WallMs wall, Outbox& out);
+  /// Returns the VMs whose workers must not get tasks because of a move or maintenance.
+  std::unordered_set<std::string_view> CordonedVms() const;
   /// Runs the section and reports its time.
   template <typename Section>
   void Measure(const char* metric, Outbox& out, const Section& section) const;
@@ -135,6 +140,7 @@
   Demand demand_;
   PoolScaler pools_;
   StartPlanner planner_;
+  WaitReport wait_report_;
   replication::Term term_ = 0;
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Requester> requesters_;  // of proposed commands, by log index
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -269,6 +269,16 @@
   return usable;
 }
 
+std::vector<ObservedWorker> WorkerFleet::WorkersOf(const std::string& service, Micros now) const {
+  std::vector<ObservedWorker> workers;
+  const auto views = by_service_.find(service);
+  if (views == by_service_.end()) return workers;
+  for (const auto& [id, view] : views->second) {
+    workers.push_back({.worker = view->known, .obstacle = ObstacleOf(*view, now)});
+  }
+  return workers;
+}
+
 const Worker* WorkerFleet::AnyWorkerOf(const std::string& service) const {
   const auto views = by_service_.find(service);
   if (views == by_service_.end() || views->second.empty()) return nullptr;
@@ -285,12 +295,15 @@
   return view != views_.end() && view->second.last_answered_order_at > time;
 }
 
-bool WorkerFleet::IsUsable(const WorkerView& view, Micros now) const {
+WorkerObstacle WorkerFleet::ObstacleOf(const WorkerView& view, Micros now) const {
   const Micros max_silence =
       kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
-  return view.known->record.phase == WorkerPhase::kReady && !view.expected_down && !view.suspect &&
-         view.lists_received && view.confirmed && view.has_clock && now >= view.backoff_until &&
-         now - view.last_heard < max_silence;
+  if (view.known->record.phase != WorkerPhase::kReady) return WorkerObstacle::kDraining;
+  if (view.expected_down) return WorkerObstacle::kExpectedDown;
+  if (view.suspect || now - view.last_heard >= max_silence) return WorkerObstacle::kSilent;
+  const bool lists_valid = view.lists_received && view.confirmed && view.has_clock;
+  if (!lists_valid) return WorkerObstacle::kUnconfirmed;
+  return now < view.backoff_until ? WorkerObstacle::kBackoff : WorkerObstacle::kNone;
 }
 
 bool WorkerFleet::RunsAtFullSpeed(const TaskId& task) const {
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -23,6 +23,25 @@
   std::int64_t stop_ms = 1'000;            // a run has ended this long after its stop was answered
 };
 
+/// What keeps a worker from getting tasks.
+enum class WorkerObstacle : std::uint8_t {
+  kNone,
+  kDraining,      // it says so
+  kExpectedDown,  // it left, or its VM was taken down or has another worker
+  kSilent,        // its last order, or its latest heartbeats, are missing
+  kUnconfirmed,   // its run lists have not arrived since its incarnation was last in doubt
+  kBackoff,       // it refused or failed runs shortly before
+  kCordoned,      // its VM is to be moved or maintained
+};
+inline constexpr EnumNames<7> kWorkerObstacleNames = {
+    "none", "draining", "expected_down", "silent", "unconfirmed", "backoff", "cordoned"};
+
+/// A worker of a service, usable or not.
+struct ObservedWorker {
+  const Worker* worker = nullptr;
+  WorkerObstacle obstacle = WorkerObstacle::kNone;
+};
+
 /// The leader's control of the workers: starts and stops runs, renews leases, and tracks the state
 /// of each run.
 ///
@@ -68,6 +87,9 @@
   std::vector<UsableWorker> UsableWorkers(Micros now) const;
   /// Returns the workers of the service that may get tasks, in the order of their ids.
   std::vector<UsableWorker> UsableWorkers(const std::string& service, Micros now) const;
+  /// Returns all workers of the service, in the order of their ids. The fleet does not know which
+  /// VMs are cordoned.
+  std::vector<ObservedWorker> WorkersOf(const std::string& service, Micros now) const;
   /// Returns a worker of the service, usable or not; null if there is none.
   const Worker* AnyWorkerOf(const std::string& service) const;
   /// Whether the worker last reported that a long-running task runs at full speed. False if the
@@ -211,7 +233,10 @@
   std::vector<WorkerView*> TakeDue(Micros now);
   /// Returns the time at which the worker has to be examined if no event concerns it before.
   Micros NextTick(const WorkerView& view, Micros now) const;
-  bool IsUsable(const WorkerView& view, Micros now) const;
+  WorkerObstacle ObstacleOf(const WorkerView& view, Micros now) const;
+  bool IsUsable(const WorkerView& view, Micros now) const {
+    return ObstacleOf(view, now) == WorkerObstacle::kNone;
+  }
   /// Concludes that the older workers on the VM of `newest`, which has answered an order, and all
   /// their runs have ended: a VM has one worker at a time.
   void ConcludeOlderWorkers(const WorkerRecord& newest, WallMs wall, Outbox& out);
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -68,6 +68,16 @@
   return open;
 }
 
+bool FitsBesideTasks(const Job& job, const TaskId& id, const Worker& worker) {
+  const Step& step = job.spec.steps[id.step];
+  if (!(worker.used + step.footprint()).FitsInto(worker.record.capacity)) return false;
+  if (step.max_per_worker == 0) return true;
+  const auto siblings = std::ranges::count_if(worker.tasks, [&](const TaskId& other) {
+    return other.job == id.job && other.occurrence == id.occurrence && other.step == id.step;
+  });
+  return siblings < static_cast<std::ptrdiff_t>(step.max_per_worker);
+}
+
 [[noreturn]] void ThrowStateError(const TaskId& task, const char* what) {
   throw StateError(FormatTask(task) + ": " + what);
 }
@@ -83,6 +93,13 @@
   });
 }
 
+bool HasRoom(const Job& job, const TaskId& id, const Worker& worker) {
+  const std::string& label = job.spec.steps[id.step].required_label;
+  const auto& labels = worker.record.labels;
+  const bool suits = label.empty() || std::ranges::find(labels, label) != labels.end();
+  return suits && FitsBesideTasks(job, id, worker);
+}
+
 ApplyOutcome State::Apply(const Command& command) {
   return std::visit([this](const auto& one) { return ApplyOne(one); }, command);
 }
@@ -259,12 +276,7 @@
     const StepRun& earlier = job.At(id.occurrence, dependency);
     if (earlier.done < earlier.tasks.size()) return false;
   }
-  if (!(worker.used + step.footprint()).FitsInto(worker.record.capacity)) return false;
-  if (step.max_per_worker == 0) return true;
-  const auto siblings = std::ranges::count_if(worker.tasks, [&](const TaskId& other) {
-    return other.job == id.job && other.occurrence == id.occurrence && other.step == id.step;
-  });
-  return siblings < static_cast<std::ptrdiff_t>(step.max_per_worker);
+  return FitsBesideTasks(job, id, worker);
 }
 
 ApplyOutcome State::ApplyOne(const Assign& command) {
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -124,6 +124,11 @@
 /// Whether a task of the step waits and the steps that it depends on are done.
 bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step);
 
+struct Worker;
+
+/// Whether the worker suits the task, and has room for it beside the tasks assigned to it.
+bool HasRoom(const Job& job, const TaskId& id, const Worker& worker);
+
 /// A run that was lost with a worker of which it is not known whether it crashed.
 struct LostRun {
   std::uint32_t run = 0;
