--- /dev/null
+++ b/tests/job_without_room_test.cc
@@ -0,0 +1,99 @@
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+
+#include "tests/job_cluster.h"
+
+// Tests that a pool grows for a job that fits on none of its workers.
+namespace godwitpaddle::testing {
+namespace {
+
+using jobs::AnswerCode;
+
+constexpr jobs::Resources kVm{.cpu = 64'000, .memory_mb = 128'000};
+constexpr jobs::Resources kTask{.cpu = 14'250, .memory_mb = 24'368};
+constexpr std::size_t kPoolVms = 3;
+constexpr std::size_t kStandbyVms = 6;
+constexpr jobs::JobId kService = 1;
+constexpr jobs::JobId kJob = 2;
+/// A job must not have nothing running for longer than 3 s while there is room for it; a VM is up
+/// in its new pool within 3 s.
+constexpr Micros kMaxWait = 6 * kSecond;
+
+jobs::JobCall MakeJob(jobs::JobId id, jobs::Step step) {
+  jobs::JobCall call{
+      .kind = jobs::JobCallKind::kSubmit, .host = "shop", .path = "/q/" + jobs::FormatJob(id)};
+  call.spec.payload = std::to_string(step.size.cpu) + " " + std::to_string(step.estimate_ms);
+  call.spec.steps = {std::move(step)};
+  return call;
+}
+
+/// A pool each of whose VMs has a long-running task, and VMs that are switched off.
+struct FullPool {
+  JobCluster cluster;
+
+  FullPool(std::uint64_t seed, jobs::Resources long_running)
+      : cluster({.seed = seed, .model_vms = true}) {
+    jobs::Configuration configuration{.version = 1, .document = "version 1"};
+    configuration.services = {{.name = "print"}, {.name = "off", .standby = true}};
+    configuration.queues = {{.name = "quotes",
+                             .host = "shop",
+                             .prefix = "/q/",
+                             .service = "print",
+                             .attempts = 3,
+                             .stretch = 2,
+                             .target_latency_ms = 600,
+                             .timeout_ms = 3'000,
+                             .open = true}};
+    cluster.standby_pools = {"off"};
+    REQUIRE(cluster.RunUntilTrue([&] { return cluster.Leader().has_value(); }, 5 * kSecond));
+    cluster.RunFor(kSecond);
+    const jobs::ConfigureCall call{.configuration = configuration};
+    REQUIRE(cluster.CallAndWait(0, call).code == AnswerCode::kOk);
+    for (std::size_t i = 0; i < kPoolVms; ++i) cluster.AddWorker("print", kVm);
+    for (std::size_t i = 0; i < kStandbyVms; ++i) cluster.AddStandbyVm("off", kVm);
+    cluster.RunFor(2 * kSecond);
+    Submit(MakeJob(kService, {.count = kPoolVms,
+                              .size = long_running,
+                              .estimate_ms = 600'000,
+                              .long_running = true,
+                              .max_per_worker = 1}));
+    cluster.RunFor(4 * kSecond);
+    REQUIRE(Assigned(kService) == kPoolVms);
+    REQUIRE(cluster.moved == 0);
+  }
+
+  void Submit(jobs::JobCall call) {
+    REQUIRE(cluster.CallAndWait(cluster.edge(0), std::move(call)).code == AnswerCode::kOk);
+  }
+  const jobs::Job& Job(jobs::JobId id) { return *cluster.state(*cluster.Leader()).FindJob(id); }
+  std::uint32_t Assigned(jobs::JobId id) { return Job(id).assigned; }
+  bool Runs(jobs::JobId id) {
+    return cluster.RunUntilTrue([&] { return Assigned(id) > 0 || !Job(id).active(); }, kMaxWait);
+  }
+  bool Completes(jobs::JobId id) {
+    return cluster.RunUntilTrue([&] { return !Job(id).active(); }, kMaxWait);
+  }
+};
+
+}  // namespace
+
+// Guards against a job that never runs because the pool's cores suffice, although no worker has
+// room for its tasks.
+TEST_CASE("a job that fits on no worker of its pool gets a VM") {
+  const std::uint64_t seed = GENERATE(1, 2, 3);
+  SECTION("where long-running tasks take the memory") {
+    FullPool pool(seed, {.cpu = 8'000, .memory_mb = 110'000});
+    pool.Submit(MakeJob(kJob, {.count = 2, .size = kTask, .estimate_ms = 640}));
+    CHECK(pool.Runs(kJob));
+    CHECK(pool.Completes(kJob));
+  }
+  SECTION("where the free cores lie on several workers") {
+    FullPool pool(seed, {.cpu = 52'000, .memory_mb = 8'000});
+    pool.Submit(MakeJob(kJob, {.count = 1, .size = kTask, .estimate_ms = 200}));
+    CHECK(pool.Runs(kJob));
+    CHECK(pool.Completes(kJob));
+  }
+}
+
+}  // namespace godwitpaddle::testing
