Give a pool VMs for a job that fits on none of its workers

Cause: the target of a pool counts cores, so a task whose memory or cores lie in pieces on the pool's workers, beside long-running tasks, waits until one of those ends or other load brings VMs. Long-running tasks had this remedy, others not. The planner now names, for each service, a step that fits on no worker even once the short tasks there have ended, and after 300 ms the pool gets VMs for it.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -66,8 +66,8 @@
       orders_(options_.vm_orders, state, [this](Command command) { Propose(std::move(command)); }),
       maintenance_(options_.maintenance, state, fleet_, orders_,
                    [this](Command command) { Propose(std::move(command)); }),
-      pools_(options_.pools, state, fleet_, orders_, maintenance_, demand_),
       planner_(state),
+      pools_(options_.pools, state, fleet_, orders_, maintenance_, planner_, demand_),
       wait_report_(state, fleet_, [this] { return CordonedVms(); }) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
--- a/control/leader.h
+++ b/control/leader.h
@@ -138,8 +138,8 @@
   VmOrders orders_;
   Maintenance maintenance_;
   Demand demand_;
-  PoolScaler pools_;
   StartPlanner planner_;
+  PoolScaler pools_;
   WaitReport wait_report_;
   replication::Term term_ = 0;
   std::vector<Proposal> proposals_;
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -16,8 +16,8 @@
 /// `move_ms` after the order.
 constexpr int kArrivalFactor = 6;
 constexpr double kMillicores = 1'000;
-/// A long-running task that has waited for longer than this is taken to fit on no worker.
-constexpr Micros kMinLongRunningWait = 300 * kMillisecond;
+/// A task for which no room was found for longer than this is taken to fit on no worker.
+constexpr std::int64_t kMinWaitMs = 300;
 
 }  // namespace
 
@@ -114,7 +114,7 @@
     pools[service.name] = {.service = service.name, .standby = service.standby};
   }
   AddWorkers(pools, now);
-  AddLongRunningNeeds(pools, now);
+  AddWaitingNeeds(pools, now);
   AddStandby(pools);
   for (const auto& [vm, moving] : moving_) {
     const auto pool = pools.find(moving.to);
@@ -155,13 +155,24 @@
   long_running_waits_ = std::move(waits);
 }
 
-std::map<std::string, std::vector<LongRunningDemand>> PoolScaler::LongRunningDemands(
-    Micros now) const {
+std::map<std::string, std::vector<WaitingDemand>> PoolScaler::WaitingDemands(Micros now) const {
   std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> counts;  // by job and step
   for (const auto& [task, since] : long_running_waits_) {
-    if (now - since > kMinLongRunningWait) ++counts[{task.job, task.step}];
+    if (now - since > kMinWaitMs * kMillisecond) ++counts[{task.job, task.step}];
+  }
+  std::map<std::string, std::vector<WaitingDemand>> demands;
+  for (const auto& [service, misfit] : planner_.misfits()) {
+    const Job* job = state_.FindJob(misfit.job);
+    const bool waits = job != nullptr && job->active() && misfit.waited_ms() > kMinWaitMs;
+    if (!waits) continue;
+    const Step& step = job->spec.steps[misfit.step];
+    const StepRun& run = job->At(misfit.occurrence, misfit.step);
+    const auto waiting = static_cast<std::uint32_t>(run.tasks.size() - run.done - run.assigned);
+    // Short tasks that must not share a worker may run one after the other.
+    const std::uint32_t together = step.gang ? step.max_per_worker : 0;
+    demands[service].push_back(
+        {.count = waiting, .size = step.footprint(), .max_per_worker = together});
   }
-  std::map<std::string, std::vector<LongRunningDemand>> demands;
   for (const auto& [key, count] : counts) {
     const Job& job = *state_.FindJob(key.first);
     const Step& step = job.spec.steps[key.second];
@@ -172,13 +183,13 @@
   return demands;
 }
 
-void PoolScaler::AddLongRunningNeeds(std::map<std::string, Pool>& pools, Micros now) const {
-  for (const auto& [service, demands] : LongRunningDemands(now)) {
+void PoolScaler::AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const {
+  for (const auto& [service, demands] : WaitingDemands(now)) {
     const auto pool = pools.find(service);
     if (pool == pools.end()) continue;
     const Worker* typical = fleet_.AnyWorkerOf(pool->first);
     const Resources vm = typical == nullptr ? Resources() : typical->record.capacity;
-    pool->second.long_running_vms = pool->second.vms + VmsForLongRunning(demands, vm);
+    pool->second.vms_for_waiting = pool->second.vms + VmsForWaiting(demands, vm);
   }
 }
 
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -11,6 +11,7 @@
 #include "control/vm_orders.h"
 #include "control/worker_fleet.h"
 #include "jobs/demand.h"
+#include "jobs/planner.h"
 #include "jobs/pool_plan.h"
 #include "jobs/state.h"
 
@@ -26,12 +27,13 @@
 class PoolScaler {
  public:
   PoolScaler(PoolScalerOptions options, const State& state, WorkerFleet& fleet, VmOrders& vm_orders,
-             const Maintenance& maintenance, Demand& demand)
+             const Maintenance& maintenance, const StartPlanner& planner, Demand& demand)
       : options_(options),
         state_(state),
         fleet_(fleet),
         orders_(vm_orders),
         maintenance_(maintenance),
+        planner_(planner),
         demand_(demand) {}
 
   void BeginTerm();
@@ -60,10 +62,10 @@
   double NeededCores(const std::string& service, double open_core_ms, Micros now);
   /// Updates which long-running tasks wait for a worker, and since when.
   void TrackLongRunningWaits(Micros now);
-  /// Long-running tasks, by service, that have waited longer than a start takes: no worker has room
-  /// for them.
-  std::map<std::string, std::vector<LongRunningDemand>> LongRunningDemands(Micros now) const;
-  void AddLongRunningNeeds(std::map<std::string, Pool>& pools, Micros now) const;
+  /// Tasks, by service, that no worker has room for: long-running ones that have waited longer than
+  /// a start takes, and misfits of the planner.
+  std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
+  void AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void FinishMoves(Micros now);
   /// Whether a worker on the VM has tasks.
   bool IsBusy(const VmId& vm) const;
@@ -77,6 +79,7 @@
   WorkerFleet& fleet_;
   VmOrders& orders_;
   const Maintenance& maintenance_;
+  const StartPlanner& planner_;
   Demand& demand_;
   Micros next_tick_ = 0;
   std::map<VmId, std::string> draining_;  // VMs being drained, with their target pools
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -122,6 +122,8 @@
 
   void Add(const std::string& service, ServiceQueue& queue);
   std::vector<Assign> Run();
+  /// See StartPlanner::misfits.
+  std::map<std::string, Misfit> TakeMisfits() { return std::move(misfits_); }
 
  private:
   /// The next step to examine of one service.
@@ -149,6 +151,8 @@
                            const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt);
   void AddStart(const Candidate& candidate, std::uint32_t index, std::uint32_t run,
                 WorkerRoom& room);
+  /// Notes the step, none of whose tasks found room, if it is a misfit.
+  void FindMisfit(const Candidate& candidate);
 
   const State& state_;
   const PlanInput& input_;
@@ -158,6 +162,7 @@
   std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
   std::unordered_map<std::string_view, TeamUsage> teams_;    // cache of look-ups
   std::vector<Assign> starts_;
+  std::map<std::string, Misfit> misfits_;
   int max_futile_ = kMaxFutileExaminations;  // for each service
   bool scanned_ = false;  // the last examination compared the room of all workers
 };
@@ -271,7 +276,9 @@
   } else {
     Place(candidate);
   }
-  if (starts_.size() == before) cursor.futile += scanned_ ? kScanCost : 1;
+  if (starts_.size() > before) return;
+  cursor.futile += scanned_ ? kScanCost : 1;
+  if (scanned_) FindMisfit(candidate);
 }
 
 ServiceRoom& PlanWalk::RoomOf(const std::string& service) {
@@ -449,6 +456,28 @@
   return best;
 }
 
+void PlanWalk::FindMisfit(const Candidate& candidate) {
+  const Step& step = candidate.Spec();
+  if (step.long_running || misfits_.contains(*candidate.service)) return;
+  // The tasks of a gang need room at the same time.
+  std::size_t unplaced = step.gang ? candidate.Run().tasks.size() : 1;
+  for (const WorkerRoom& room : candidate.room->workers) {
+    if (!Suits(step, room.worker->record)) continue;
+    Resources free = room.worker->record.capacity - room.worker->long_running_used;
+    std::size_t most = step.max_per_worker > 0 ? step.max_per_worker : unplaced;
+    for (; unplaced > 0 && most > 0 && step.footprint().FitsInto(free); --most) {
+      free -= step.footprint();
+      --unplaced;
+    }
+    if (unplaced == 0) return;
+  }
+  misfits_[*candidate.service] = {.job = candidate.job->id,
+                                  .occurrence = candidate.occurrence,
+                                  .step = candidate.step,
+                                  .since_ms = input_.wall_ms,
+                                  .seen_ms = input_.wall_ms};
+}
+
 void PlanWalk::AddStart(const Candidate& candidate, std::uint32_t index, std::uint32_t run,
                         WorkerRoom& room) {
   const Step& step = candidate.Spec();
@@ -473,6 +502,7 @@
   positions_.clear();
   later_.clear();
   changed_.clear();
+  misfits_.clear();
   for (const auto& [id, job] : state_.startable_jobs()) changed_.insert(id);
 }
 
@@ -545,7 +575,15 @@
   UpdateIsolation(input.wall_ms);
   PlanWalk walk(state_, input, isolation_, [&](JobId id) { Update(id, input); });
   for (auto& [service, queue] : queues_) walk.Add(service, queue);
-  return walk.Run();
+  std::vector<Assign> starts = walk.Run();
+  std::map<std::string, Misfit> found = walk.TakeMisfits();
+  for (auto& [service, misfit] : found) {
+    const auto before = misfits_.find(service);
+    const bool known = before != misfits_.end() && before->second.IsSameStep(misfit);
+    if (known) misfit.since_ms = before->second.since_ms;
+  }
+  misfits_ = std::move(found);
+  return starts;
 }
 
 }  // namespace godwitpaddle::jobs
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -39,6 +39,21 @@
 /// actual run times are `estimate_factor` times the estimates. `queue` is null if it was removed.
 std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor);
 
+/// A waiting step whose tasks fit on no usable worker, not even once the short tasks there have
+/// ended. Its service needs more workers.
+struct Misfit {
+  JobId job = 0;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::int64_t since_ms = 0;  // Unix time of the first plan that found it
+  std::int64_t seen_ms = 0;   // Unix time of the latest one
+
+  bool IsSameStep(const Misfit& other) const {
+    return job == other.job && occurrence == other.occurrence && step == other.step;
+  }
+  std::int64_t waited_ms() const { return seen_ms - since_ms; }
+};
+
 namespace detail {
 
 /// A step of an occurrence of a job that has tasks to start, in the order of starting.
@@ -95,6 +110,9 @@
   /// it is its turn; one whose rank got better because estimates changed, when all were ranked in
   /// turn.
   std::vector<Assign> Plan(const PlanInput& input);
+  /// The misfit that the latest plan found first, by service. Long-running steps are not among
+  /// them.
+  const std::map<std::string, Misfit>& misfits() const { return misfits_; }
 
  private:
   using Position = std::pair<detail::ServiceQueue*, detail::WaitingKey>;
@@ -113,6 +131,7 @@
   std::set<std::pair<std::int64_t, JobId>> later_;  // jobs to be ranked at this Unix time
   JobId last_in_turn_ = 0;                          // see RankNextInTurn
   detail::Isolation isolation_;
+  std::map<std::string, Misfit> misfits_;
 };
 
 }  // namespace godwitpaddle::jobs
--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -42,7 +42,7 @@
     for (const Pool& pool : pools_) {
       const int need = NeededVms(pool, options_);
       const int share = scarce_ && needed > 0 ? need * available / needed : need;
-      const int min_vms = std::max(options_.min_vms, pool.long_running_vms);
+      const int min_vms = std::max(options_.min_vms, pool.vms_for_waiting);
       targets_[pool.service] = pool.standby ? 0 : std::max(share, min_vms);
     }
   }
@@ -111,13 +111,13 @@
 
 }  // namespace
 
-int VmsForLongRunning(const std::vector<LongRunningDemand>& waits, const Resources& vm) {
+int VmsForWaiting(const std::vector<WaitingDemand>& waits, const Resources& vm) {
   const auto ceil_div = [](std::int64_t value, std::int64_t by) {
     return by <= 0 ? 0 : (value + by - 1) / by;
   };
   Resources total;
   std::int64_t vms = 0;
-  for (const LongRunningDemand& demand : waits) {
+  for (const WaitingDemand& demand : waits) {
     total.cpu += demand.count * demand.size.cpu;
     total.memory_mb += demand.count * demand.size.memory_mb;
     total.accelerators += demand.count * demand.size.accelerators;
@@ -133,7 +133,7 @@
   if (pool.standby) return 0;
   const double cores = std::max(1.0, pool.vm_cores);
   const int for_cores = static_cast<int>(std::ceil(pool.needed_cores / cores));
-  return std::max({options.min_vms, pool.long_running_vms, for_cores});
+  return std::max({options.min_vms, pool.vms_for_waiting, for_cores});
 }
 
 std::vector<PoolMove> PlanMoves(std::vector<Pool> pools, const PoolPlanOptions& options,
--- a/jobs/pool_plan.h
+++ b/jobs/pool_plan.h
@@ -25,8 +25,8 @@
   double needed_cores = 0;  // forecast for the near future
   double vm_cores = 0;      // cores of one VM
   int vms = 0;              // in the pool or moving to it
-  /// Least number of VMs with which the waiting long-running tasks can start; 0: none wait.
-  int long_running_vms = 0;
+  /// Least number of VMs with which the tasks that wait for room can start; 0: none wait.
+  int vms_for_waiting = 0;
   std::vector<PoolVm> movable;
   Micros surplus_since = 0;  // start of the present surplus of VMs; 0: no surplus
 };
@@ -44,17 +44,16 @@
   Micros surplus_delay = 2'500 * kMillisecond;
 };
 
-/// Identical long-running tasks that have been waiting for capacity for some time.
-struct LongRunningDemand {
+/// Identical tasks that have been waiting for room for some time.
+struct WaitingDemand {
   std::uint32_t count = 0;
   Resources size;
   std::uint32_t max_per_worker = 0;  // 0: no limit
 };
 
-/// Returns the number of VMs that can hold all of these tasks. Designed for loads in which
-/// long-running tasks wait because they must be spread over VMs: their pool has enough cores, but
-/// on too few VMs.
-int VmsForLongRunning(const std::vector<LongRunningDemand>& waits, const Resources& vm);
+/// Returns the number of VMs that can hold all of these tasks, which wait although their pool has
+/// enough cores: they must be spread over VMs, or its free cores and memory lie on different ones.
+int VmsForWaiting(const std::vector<WaitingDemand>& waits, const Resources& vm);
 
 /// Returns the number of VMs that a pool needs; 0 for a standby pool.
 int NeededVms(const Pool& pool, const PoolPlanOptions& options);
--- a/tests/pool_plan_test.cc
+++ b/tests/pool_plan_test.cc
@@ -47,18 +47,18 @@
     // Otherwise a task that must not share a VM with other tasks of its step waits too long (14 s
     // in a recorded case).
     Pool spread = MakePool("a", 4, 64);
-    spread.long_running_vms = 6;
+    spread.vms_for_waiting = 6;
     const auto moves = PlanMoves({spread, MakePool("b", 8, 0)}, options, 0);
     REQUIRE(moves.size() == 2);
     CHECK(moves[0].to == "a");
     const Resources vm{.cpu = 64'000, .memory_mb = 128'000};
     const Resources task{.cpu = 5'000, .memory_mb = 17'000};
-    CHECK(VmsForLongRunning({}, vm) == 0);
-    CHECK(VmsForLongRunning({{.count = 3, .size = task, .max_per_worker = 1}}, vm) == 3);
-    CHECK(VmsForLongRunning({{.count = 3, .size = task, .max_per_worker = 2}}, vm) == 2);
-    CHECK(VmsForLongRunning({{.count = 8, .size = task}}, vm) == 2);
-    CHECK(VmsForLongRunning({{.count = 2, .size = task}, {.count = 1, .size = task}}, vm) == 1);
-    CHECK(VmsForLongRunning({{.count = 1, .size = task}}, {}) == 1);
+    CHECK(VmsForWaiting({}, vm) == 0);
+    CHECK(VmsForWaiting({{.count = 3, .size = task, .max_per_worker = 1}}, vm) == 3);
+    CHECK(VmsForWaiting({{.count = 3, .size = task, .max_per_worker = 2}}, vm) == 2);
+    CHECK(VmsForWaiting({{.count = 8, .size = task}}, vm) == 2);
+    CHECK(VmsForWaiting({{.count = 2, .size = task}, {.count = 1, .size = task}}, vm) == 1);
+    CHECK(VmsForWaiting({{.count = 1, .size = task}}, {}) == 1);
   }
   SECTION("VMs that no pool needs are switched off after a delay") {
     Pool off = MakePool("off", 0, 0);
