Give no VMs for a job that none can run, and keep the time of a misfit

Callers would have seen pools that take every VM for a job whose tasks are larger than any VM, or that need a label none has: each VM that arrives leaves the job a misfit. A step counts as a misfit now only if an empty worker of its service could run one of its tasks. And the time since which a service has misfits is kept when another step is found first, or when a plan ends before it gets to the service: it was lost, so under load the pool never grew.

--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -1,6 +1,7 @@
 #include "jobs/planner.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <optional>
@@ -37,6 +38,10 @@
 /// time between two plans.
 constexpr std::int64_t kKeepMs = 400;
 
+/// A misfit that no plan found for this long is none any more. A plan may end before it gets to a
+/// service.
+constexpr std::int64_t kMisfitKeptMs = 400;
+
 /// Free resources of one worker, less the starts planned so far.
 struct WorkerRoom {
   const Worker* worker = nullptr;
@@ -461,8 +466,10 @@
   if (step.long_running || misfits_.contains(*candidate.service)) return;
   // The tasks of a gang need room at the same time.
   std::size_t unplaced = step.gang ? candidate.Run().tasks.size() : 1;
+  bool suits_any = false;
   for (const WorkerRoom& room : candidate.room->workers) {
     if (!Suits(step, room.worker->record)) continue;
+    suits_any = true;
     Resources free = room.worker->record.capacity - room.worker->long_running_used;
     std::size_t most = step.max_per_worker > 0 ? step.max_per_worker : unplaced;
     for (; unplaced > 0 && most > 0 && step.footprint().FitsInto(free); --most) {
@@ -471,6 +478,7 @@
     }
     if (unplaced == 0) return;
   }
+  if (!suits_any) return;  // more workers of the same kind would not help
   misfits_[*candidate.service] = {.job = candidate.job->id,
                                   .occurrence = candidate.occurrence,
                                   .step = candidate.step,
@@ -565,6 +573,19 @@
                 [&](const auto& entry) { return wall_ms > entry.second.wanted_ms + kKeepMs; });
 }
 
+void StartPlanner::UpdateMisfits(const std::map<std::string, Misfit>& found, std::int64_t wall_ms) {
+  std::erase_if(misfits_, [&](const auto& entry) {
+    return std::abs(wall_ms - entry.second.seen_ms) > kMisfitKeptMs;
+  });
+  for (const auto& [service, misfit] : found) {
+    const auto before = misfits_.find(service);
+    const std::int64_t since_ms =
+        before == misfits_.end() ? misfit.since_ms : before->second.since_ms;
+    misfits_[service] = misfit;
+    misfits_[service].since_ms = since_ms;
+  }
+}
+
 std::vector<Assign> StartPlanner::Plan(const PlanInput& input) {
   RankNextInTurn();
   while (!later_.empty() && later_.begin()->first <= input.wall_ms) {
@@ -576,13 +597,7 @@
   PlanWalk walk(state_, input, isolation_, [&](JobId id) { Update(id, input); });
   for (auto& [service, queue] : queues_) walk.Add(service, queue);
   std::vector<Assign> starts = walk.Run();
-  std::map<std::string, Misfit> found = walk.TakeMisfits();
-  for (auto& [service, misfit] : found) {
-    const auto before = misfits_.find(service);
-    const bool known = before != misfits_.end() && before->second.IsSameStep(misfit);
-    if (known) misfit.since_ms = before->second.since_ms;
-  }
-  misfits_ = std::move(found);
+  UpdateMisfits(walk.TakeMisfits(), input.wall_ms);
   return starts;
 }
 
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -40,17 +40,14 @@
 std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor);
 
 /// A waiting step whose tasks fit on no usable worker, not even once the short tasks there have
-/// ended. Its service needs more workers.
+/// ended, but would fit on an empty one. Its service needs more workers.
 struct Misfit {
   JobId job = 0;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
-  std::int64_t since_ms = 0;  // Unix time of the first plan that found it
-  std::int64_t seen_ms = 0;   // Unix time of the latest one
+  std::int64_t since_ms = 0;  // Unix time since which plans have found misfits of the service
+  std::int64_t seen_ms = 0;   // Unix time of the latest plan that found this one
 
-  bool IsSameStep(const Misfit& other) const {
-    return job == other.job && occurrence == other.occurrence && step == other.step;
-  }
   std::int64_t waited_ms() const { return seen_ms - since_ms; }
 };
 
@@ -110,8 +107,7 @@
   /// it is its turn; one whose rank got better because estimates changed, when all were ranked in
   /// turn.
   std::vector<Assign> Plan(const PlanInput& input);
-  /// The misfit that the latest plan found first, by service. Long-running steps are not among
-  /// them.
+  /// The first misfit of the latest plans, by service. Long-running steps are not among them.
   const std::map<std::string, Misfit>& misfits() const { return misfits_; }
 
  private:
@@ -121,6 +117,7 @@
   void Remove(JobId id);
   /// Ends trials that are over and releases kept workers for which no suspect waits any more.
   void UpdateIsolation(std::int64_t wall_ms);
+  void UpdateMisfits(const std::map<std::string, Misfit>& found, std::int64_t wall_ms);
   /// Has the plan rank the next few jobs anew, all of them in turn.
   void RankNextInTurn();
 
--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -96,4 +96,15 @@
   }
 }
 
+// Guards against a pool that takes VM after VM for a job that no VM can run.
+TEST_CASE("a job that no VM can run gets none") {
+  FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
+  jobs::Step step{.count = 2, .size = kTask, .estimate_ms = 640};
+  SECTION("because its tasks are larger than a VM") { step.size.memory_mb = 2 * kVm.memory_mb; }
+  SECTION("because no VM has its label") { step.required_label = "press"; }
+  pool.Submit(MakeJob(kJob, step));
+  CHECK_FALSE(pool.Runs(kJob));
+  CHECK(pool.cluster.moved == 0);
+}
+
 }  // namespace godwitpaddle::testing
