--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "tests/job_cluster.h"
 
@@ -64,7 +65,8 @@
   }
 
   void Submit(jobs::JobCall call) {
-    REQUIRE(cluster.CallAndWait(cluster.edge(0), std::move(call)).code == AnswerCode::kOk);
+    const jobs::Answer answer = cluster.CallAndWait(cluster.edge(0), std::move(call));
+    REQUIRE(answer.code == AnswerCode::kOk);
   }
   const jobs::Job& Job(jobs::JobId id) { return *cluster.state(*cluster.Leader()).FindJob(id); }
   std::uint32_t Assigned(jobs::JobId id) { return Job(id).assigned; }
