--- a/tests/job_cluster_faults.cc
+++ b/tests/job_cluster_faults.cc
@@ -198,6 +198,9 @@
   if (wait == 0 && Chance(options_.throttled_vm_calls)) {
     return answer({.outcome = VmOutcome::kThrottled}, kVmAnswer);
   }
+  if (wait == 0 && options_.silent_vm_calls > 0 && Chance(options_.silent_vm_calls)) {
+    return answer({.outcome = VmOutcome::kUnknown}, kVmTimeout);
+  }
   if (wait == 0 && Chance(options_.reset_vm_calls)) {
     const std::uint64_t kind = UniformBelow(rng_, 3);
     if (kind == 2) ApplyVmOrder(effect.order);
