Plan starts while earlier ones are made durable

Cause: each plan waited until the at most 128 starts of the last one were durable, and none was made with 256 starts unanswered, so one slow disk or some silent workers bounded the starts of all services.

The planner now keeps the starts that the state does not have yet (UnappliedStarts) and counts them as made: room, team limits, limits per worker, gangs, suspects. VMs with such starts are not taken down as empty. The walk of one plan has files of its own, and "misfit" is now an unplaceable step. Waits of these are counted in monotonic time.

New lines and metrics say how plans ended and by how much they were late.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -20,9 +20,10 @@
 /// Added to the pause for each worker, because a plan examines the room of those of each service
 /// for which a task waits.
 constexpr Micros kPlanPausePerWorker = 6;
-/// Most starts in flight at once. More would queue in this node until their deadlines pass.
-constexpr std::size_t kMaxStartsInFlight = 256;
-/// Most starts of one plan: the next plan waits until these are durable.
+/// Most starts that are planned and not answered. If all were sent at the same moment, more would
+/// queue in this node until their deadlines pass.
+constexpr std::size_t kMaxStartsOutstanding = 2'048;
+/// Most starts of one plan, which delays other events meanwhile.
 constexpr std::size_t kMaxStartsPerPlan = 128;
 /// Least time between examinations of the workers that events concern, so that the events of one
 /// worker share an examination.
@@ -64,9 +65,9 @@
       state_(state),
       fleet_(options_.fleet, state, [this](Command command) { Propose(std::move(command)); }),
       orders_(options_.vm_orders, state, [this](Command command) { Propose(std::move(command)); }),
-      maintenance_(options_.maintenance, state, fleet_, orders_,
-                   [this](Command command) { Propose(std::move(command)); }),
       planner_(state),
+      maintenance_(options_.maintenance, state, fleet_, orders_, planner_,
+                   [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, orders_, maintenance_, planner_, demand_),
       wait_report_(state, fleet_, [this] { return CordonedVms(); }) {}
 
@@ -75,13 +76,13 @@
   proposals_.clear();
   requesters_.clear();
   unapplied_submits_.clear();
-  unapplied_starts_ = 0;
   fleet_.BeginTerm(term, now, wall);
   orders_.BeginTerm(term, now);
   maintenance_.BeginTerm(now);
   pools_.BeginTerm();
   planner_.Reset();
   wait_report_.BeginTerm();
+  pace_.BeginTerm();
   plan_due_ = true;
   out.Log("leadership_began", {{"term", std::to_string(term)},
                                {"configuration", std::to_string(state_.configuration().version)},
@@ -151,7 +152,6 @@
     Reply(requester->second, AnswerTo(command, outcome), out);
     requesters_.erase(requester);
   }
-  if (std::holds_alternative<Assign>(command) && unapplied_starts_ > 0) --unapplied_starts_;
   if (const auto* submit = std::get_if<Submit>(&command)) {
     const auto unapplied = unapplied_submits_.find(submit->job);
     if (unapplied != unapplied_submits_.end()) unapplied_submits_.erase(unapplied);
@@ -174,9 +174,9 @@
 void Leader::TellPlanner(const Command& command) {
   if (const auto* submit = std::get_if<Submit>(&command)) planner_.OnJobChanged(submit->job);
   if (const auto* cancel = std::get_if<Cancel>(&command)) planner_.OnJobChanged(cancel->job);
-  if (const auto* assign = std::get_if<Assign>(&command)) planner_.OnJobChanged(assign->task.job);
+  if (const auto* assign = std::get_if<Assign>(&command)) planner_.OnStartApplied(*assign);
   if (const auto* end = std::get_if<RecordEnd>(&command)) planner_.OnJobChanged(end->task.job);
-  if (std::holds_alternative<Configure>(command)) planner_.Reset();
+  if (std::holds_alternative<Configure>(command)) planner_.RankAll();
 }
 
 void Leader::UpdateRunTimeEstimate(const RecordEnd& end, Micros now) {
@@ -241,18 +241,14 @@
         now + kFleetTickPeriod + static_cast<Micros>(state_.worker_count()) * kFleetTickPerWorker;
     Measure("section_workers_us", out, [&] { fleet_.Tick(now, wall, out); });
   }
-  // A VM must not be taken down as empty while proposed starts on it are not applied yet.
-  if (unapplied_starts_ == 0 && maintenance_.IsDue(now)) {
+  if (maintenance_.IsDue(now)) {
     Measure("section_maintenance_us", out, [&] { maintenance_.Tick(now, out); });
   }
-  if (unapplied_starts_ == 0 && pools_.IsDue(now)) {
+  if (pools_.IsDue(now)) {
     Measure("section_pools_us", out, [&] { pools_.Tick(now, out); });
   }
   orders_.Tick(now, wall, out);
-  const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
-  if (due && now >= next_plan_ && unapplied_starts_ == 0) {
-    Measure("section_plan_us", out, [&] { Plan(now, wall, out); });
-  }
+  PlanIfDue(now, wall, out);
   wait_report_.Tick(now, wall, out);
   LogLoad(now, out);
 }
@@ -273,15 +269,15 @@
   out.Count("records_scanned_total", static_cast<double>(scanned));
   // A warning in severity only: such lines have a quota of their own, so that routine ones do not
   // displace them when the leader is overloaded.
-  out.Log("leader_load",
-          {{"open_jobs", std::to_string(state_.open_job_count())},
-           {"startable_jobs", std::to_string(state_.startable_job_count())},
-           {"workers", std::to_string(state_.worker_count())},
-           {"starts_in_flight", std::to_string(fleet_.StartsInFlight())},
-           {"unapplied_starts", std::to_string(unapplied_starts_)},
-           {"unapplied_calls", std::to_string(requesters_.size())},
-           {"records_scanned", std::to_string(scanned)}},
-          Severity::kWarning);
+  Fields fields{{"open_jobs", std::to_string(state_.open_job_count())},
+                {"startable_jobs", std::to_string(state_.startable_job_count())},
+                {"workers", std::to_string(state_.worker_count())},
+                {"starts_in_flight", std::to_string(fleet_.StartsInFlight())},
+                {"unapplied_starts", std::to_string(planner_.unapplied().size())},
+                {"unapplied_calls", std::to_string(requesters_.size())},
+                {"records_scanned", std::to_string(scanned)}};
+  for (auto& field : pace_.TakeFields()) fields.push_back(std::move(field));
+  out.Log("leader_load", std::move(fields), Severity::kWarning);
 }
 
 std::unordered_set<std::string_view> Leader::CordonedVms() const {
@@ -291,30 +287,45 @@
   return vms;
 }
 
-void Leader::Plan(Micros now, WallMs wall, Outbox& out) {
+void Leader::PlanIfDue(Micros now, WallMs wall, Outbox& out) {
+  const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
+  if (!due || now < next_plan_) return;
+  const std::size_t unapplied = planner_.unapplied().size();
+  const std::size_t outstanding = unapplied + fleet_.StartsInFlight();
+  if (outstanding >= kMaxStartsOutstanding) {
+    const bool slow_disks = unapplied > fleet_.StartsInFlight();
+    pace_.OnHeldBack(slow_disks ? PlanEnd::kNotDurable : PlanEnd::kUnanswered, now, out);
+    return;
+  }
+  const std::size_t max_starts = std::min(kMaxStartsPerPlan, kMaxStartsOutstanding - outstanding);
+  Measure("section_plan_us", out, [&] { Plan(max_starts, now, wall, out); });
+}
+
+void Leader::Plan(std::size_t max_starts, Micros now, WallMs wall, Outbox& out) {
   plan_due_ = false;
   next_plan_ = now + PlanPause(state_);
-  const std::size_t in_flight = fleet_.StartsInFlight();
-  if (in_flight >= kMaxStartsInFlight) return;
-  std::optional<std::unordered_set<std::string_view>> cordoned_vms;
+  std::optional<std::unordered_set<std::string_view>> cordoned;
   const auto usable = [&](const std::string& service) {
-    if (!cordoned_vms) cordoned_vms = CordonedVms();
-    const auto& cordoned = *cordoned_vms;
+    if (!cordoned) cordoned = CordonedVms();
     auto workers = fleet_.UsableWorkers(service, now);
-    std::erase_if(
-        workers, [&](const UsableWorker& one) { return cordoned.contains(one.worker->record.vm); });
+    std::erase_if(workers, [&](const UsableWorker& one) {
+      return cordoned->contains(one.worker->record.vm);
+    });
     return workers;
   };
   const auto factor = [this](const std::string& service) {
     return demand_.EstimateFactor(service);
   };
-  std::vector<Assign> starts = planner_.Plan({.usable_workers = usable,
-                                              .estimate_factor = factor,
-                                              .wall_ms = wall,
-                                              .max_starts = kMaxStartsPerPlan});
-  LogStarts(starts, wall, out);
-  unapplied_starts_ += starts.size();
-  for (Assign& start : starts) Propose(std::move(start));
+  StartPlan plan = planner_.Plan({.usable_workers = usable,
+                                  .estimate_factor = factor,
+                                  .wall_ms = wall,
+                                  .now = now,
+                                  .max_starts = max_starts});
+  pace_.OnPlan(plan.full ? PlanEnd::kFull : PlanEnd::kComplete, now, out);
+  // What did not fit into this plan comes with the next one, without a further event.
+  if (plan.full) plan_due_ = true;
+  LogStarts(plan.starts, wall, out);
+  for (Assign& start : plan.starts) Propose(std::move(start));
 }
 
 /// Logs one line for each step of which a plan starts tasks.
--- a/control/leader.h
+++ b/control/leader.h
@@ -12,6 +12,7 @@
 
 #include "control/events.h"
 #include "control/maintenance.h"
+#include "control/plan_pace.h"
 #include "control/pool_scaler.h"
 #include "control/vm_orders.h"
 #include "control/wait_report.h"
@@ -123,7 +124,9 @@
   void LogEnd(const Job& job, const Command& command, Outbox& out) const;
   void LogStarts(const std::vector<Assign>& starts, WallMs wall, Outbox& out) const;
   void StopEndedJob(JobId id, Micros now, Outbox& out);
-  void Plan(Micros now, WallMs wall, Outbox& out);
+  /// Plans starts, if the time has come and earlier ones do not hold it back.
+  void PlanIfDue(Micros now, WallMs wall, Outbox& out);
+  void Plan(std::size_t max_starts, Micros now, WallMs wall, Outbox& out);
   /// Returns the VMs whose workers must not get tasks because of a move or maintenance.
   std::unordered_set<std::string_view> CordonedVms() const;
   /// Runs the section and reports its time.
@@ -136,9 +139,9 @@
   const State& state_;
   WorkerFleet fleet_;
   VmOrders orders_;
+  StartPlanner planner_;
   Maintenance maintenance_;
   Demand demand_;
-  StartPlanner planner_;
   PoolScaler pools_;
   WaitReport wait_report_;
   replication::Term term_ = 0;
@@ -146,7 +149,7 @@
   std::map<std::uint64_t, Requester> requesters_;  // of proposed commands, by log index
   std::multiset<JobId> unapplied_submits_;         // jobs of proposed Submits, not applied yet
   Micros call_waited_ = 0;                         // of the call that is handled
-  std::size_t unapplied_starts_ = 0;               // planned starts that were not applied yet
+  PlanPace pace_;
   bool plan_due_ = false;
   Micros next_plan_ = 0;
   Micros next_fleet_tick_ = 0;
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -164,6 +164,8 @@
   if (work.step != VmStep::kDraining) return;
   MoveLongRunningTasks(work.worker, now, out);
   const Worker* worker = state_.FindWorker(work.worker);
+  // A start that was planned before the VM was drained.
+  if (planner_.unapplied().HasStartOn(work.worker)) return;
   const bool long_running = worker != nullptr && worker->long_running_tasks > 0;
   if (!HasNoTasks(work) && (long_running || now - work.since < kFinishGrace)) return;
   std::size_t& down = down_[work.wave];
@@ -171,13 +173,12 @@
   ++down;
   work.step = VmStep::kOrdered;
   orders_.Order(vm, MaintainVm{.vm = vm, .wave = work.wave},
-                [this, vm](VmOutcome outcome, Micros then, WallMs wall, Outbox& reply) {
-                  OnOutcome(vm, outcome, then, wall, reply);
+                [this, vm](VmOutcome outcome, Micros then, WallMs /*wall*/, Outbox& reply) {
+                  OnOutcome(vm, outcome, then, reply);
                 });
 }
 
-void Maintenance::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, WallMs wall,
-                            Outbox& out) {
+void Maintenance::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out) {
   const auto found = active_.find(vm);
   if (found == active_.end()) return;
   VmMaintenance& work = found->second;
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -12,6 +12,7 @@
 #include "control/events.h"
 #include "control/vm_orders.h"
 #include "control/worker_fleet.h"
+#include "jobs/planner.h"
 #include "jobs/state.h"
 
 namespace godwitpaddle::jobs {
@@ -27,11 +28,12 @@
   using Propose = std::function<void(Command)>;
 
   Maintenance(MaintenanceOptions options, const State& state, WorkerFleet& fleet,
-              VmOrders& vm_orders, Propose propose)
+              VmOrders& vm_orders, const StartPlanner& planner, Propose propose)
       : options_(options),
         state_(state),
         fleet_(fleet),
         orders_(vm_orders),
+        planner_(planner),
         propose_(std::move(propose)) {}
 
   void BeginTerm(Micros now);
@@ -63,7 +65,7 @@
   void TickWave(WaveId id, const Wave& wave, Micros now);
   void BeginVm(WaveId id, const VmId& vm, Micros now);
   void TickVm(const VmId& vm, VmMaintenance& work, Micros now, Outbox& out);
-  void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, WallMs wall, Outbox& out);
+  void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out);
   bool HasNoTasks(const VmMaintenance& work) const;
   bool HasReturned(const VmId& vm, const VmMaintenance& work, Micros now) const;
   void ReleaseReturned(Micros now);
@@ -79,6 +81,7 @@
   const State& state_;
   WorkerFleet& fleet_;
   VmOrders& orders_;
+  const StartPlanner& planner_;
   Propose propose_;
   Micros next_tick_ = 0;
   std::map<VmId, VmMaintenance> active_;
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -17,7 +17,7 @@
 constexpr int kArrivalFactor = 6;
 constexpr double kMillicores = 1'000;
 /// A task for which no room was found for longer than this is taken to fit on no worker.
-constexpr std::int64_t kMinWaitMs = 300;
+constexpr Micros kMinWait = 300 * kMillisecond;
 
 }  // namespace
 
@@ -61,7 +61,7 @@
 
 bool PoolScaler::IsBusy(const VmId& vm) const {
   return std::ranges::any_of(state_.WorkersOnVm(vm), [this](const WorkerId& id) {
-    return !state_.FindWorker(id)->tasks.empty();
+    return !state_.FindWorker(id)->tasks.empty() || planner_.unapplied().HasStartOn(id);
   });
 }
 
@@ -158,20 +158,18 @@
 std::map<std::string, std::vector<WaitingDemand>> PoolScaler::WaitingDemands(Micros now) const {
   std::map<std::pair<JobId, std::uint32_t>, std::uint32_t> counts;  // by job and step
   for (const auto& [task, since] : long_running_waits_) {
-    if (now - since > kMinWaitMs * kMillisecond) ++counts[{task.job, task.step}];
+    if (now - since > kMinWait) ++counts[{task.job, task.step}];
   }
   std::map<std::string, std::vector<WaitingDemand>> demands;
-  for (const auto& [service, misfit] : planner_.misfits()) {
-    const Job* job = state_.FindJob(misfit.job);
-    const bool waits = job != nullptr && job->active() && misfit.waited_ms() > kMinWaitMs;
+  for (const auto& [service, unplaceable] : planner_.unplaceable()) {
+    const Job* job = state_.FindJob(unplaceable.job);
+    const bool waits = job != nullptr && job->active() && unplaceable.waited() > kMinWait;
     if (!waits) continue;
-    const Step& step = job->spec.steps[misfit.step];
-    const StepRun& run = job->At(misfit.occurrence, misfit.step);
-    const auto waiting = static_cast<std::uint32_t>(run.tasks.size() - run.done - run.assigned);
+    const Step& step = job->spec.steps[unplaceable.step];
     // Short tasks that must not share a worker may run one after the other.
     const std::uint32_t together = step.gang ? step.max_per_worker : 0;
     demands[service].push_back(
-        {.count = waiting, .size = step.footprint(), .max_per_worker = together});
+        {.count = unplaceable.tasks, .size = step.footprint(), .max_per_worker = together});
   }
   for (const auto& [key, count] : counts) {
     const Job& job = *state_.FindJob(key.first);
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -63,7 +63,7 @@
   /// Updates which long-running tasks wait for a worker, and since when.
   void TrackLongRunningWaits(Micros now);
   /// Tasks, by service, that no worker has room for: long-running ones that have waited longer than
-  /// a start takes, and misfits of the planner.
+  /// a start takes, and unplaceable steps of the planner.
   std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
   void AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void FinishMoves(Micros now);
--- a/control/wait_report.cc
+++ b/control/wait_report.cc
@@ -80,6 +80,7 @@
   wait.is_logged = true;
   wait.logged = found.reason;
   --lines_left_;
+  out.Count("task_waits_" + std::string(NameOf(kWaitReasonNames, found.reason)) + "_total");
   const Task& task = *state_.FindTask(id);
   const Resources size = state_.FindJob(id.job)->spec.steps[id.step].footprint();
   out.Log("task_waits",
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -30,18 +30,6 @@
 constexpr Micros kFailureBackoff = 2 * kSecond;
 constexpr int kMaxBackoffDoublings = 3;
 
-/// Returns how long the lease may last at most, by the leader's clock.
-Micros MaxLeaseDuration(std::int64_t lease_ms) {
-  return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
-}
-
-/// Whether the state has the task assigned to this worker in this run.
-bool IsCurrentRun(const State& state, const RecordEnd& end) {
-  const Task* task = state.FindTask(end.task);
-  return task != nullptr && task->phase == TaskPhase::kAssigned && task->run == end.run &&
-         task->worker == end.worker;
-}
-
 }  // namespace
 
 void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now, WallMs wall) {
@@ -264,7 +252,9 @@
   if (views == by_service_.end()) return usable;
   for (const auto& [id, view] : views->second) {
     if (!IsUsable(*view, now)) continue;
-    usable.push_back({.worker = view->known, .recently_successful = view->recently_successful});
+    usable.push_back({.worker = view->known,
+                      .recently_successful = view->recently_successful,
+                      .unanswered_starts = view->unanswered_starts});
   }
   return usable;
 }
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -182,8 +182,9 @@
     bool suspect = false;               // the last order was not sent or not answered
     bool confirmed = false;             // run lists arrived since the incarnation was last in doubt
     bool renewal_in_flight = false;
-    bool touched = false;        // listed in `touched_`
-    Micros next_renewal_at = 0;  // earliest time of the next lease renewal
+    std::size_t unanswered_starts = 0;  // start orders without an answer yet
+    bool touched = false;               // listed in `touched_`
+    Micros next_renewal_at = 0;         // earliest time of the next lease renewal
     Micros renewal_sent_at = 0;
     Micros last_heard = 0;
     Micros backoff_until = 0;          // the worker gets no new tasks before this time
--- a/control/worker_orders.cc
+++ b/control/worker_orders.cc
@@ -39,6 +39,7 @@
   const std::int64_t until = ExtendLease(view, kStartLeaseMs, now);
   ++run.start_sends;
   ++starts_in_flight_;
+  ++view.unanswered_starts;
   run.start_in_flight = true;
   SendOrder({.worker = worker,
              .incarnation = view.incarnation,
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -30,6 +30,7 @@
   WorkerView* view = FindView(sent.worker);
   if (view == nullptr) return;
   view->runs_due = 0;
+  if (sent.kind == OrderKind::kStart && view->unanswered_starts > 0) --view->unanswered_starts;
   const OrderReply& reply = event.reply;
   const bool answered =
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
--- /dev/null
+++ b/jobs/plan_walk.h
@@ -0,0 +1,145 @@
+#ifndef GODWITPADDLE_JOBS_PLAN_WALK_H_
+#define GODWITPADDLE_JOBS_PLAN_WALK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jobs/planner.h"
+#include "jobs/unapplied_starts.h"
+
+/// The walk of one plan over the waiting steps; see StartPlanner.
+namespace godwitpaddle::jobs::detail {
+
+const Queue* QueueOf(const Job& job, const State& state);
+const std::string& ServiceOf(const Job& job, const Queue* queue);
+
+/// The times and the priority of a job's steps, from which their ranks follow.
+struct JobTimes {
+  int priority = 0;
+  std::int64_t objective_ms = 0;
+  double factor = 1;
+
+  JobTimes(const Job& job, const Queue* queue, const PlanInput& input);
+  StartRank Rank(const Job& job, std::uint32_t occurrence, std::uint32_t step,
+                 std::int64_t wall_ms) const;
+};
+
+/// Free resources of one worker, less the starts planned so far.
+struct WorkerRoom {
+  const Worker* worker = nullptr;
+  Resources free;
+  std::size_t starts = 0;              // planned, by this plan or not applied yet
+  std::size_t long_running_tasks = 0;  // with those of unapplied starts
+  Resources long_running_used;
+  bool recently_successful = false;
+  bool closed = false;    // for tasks that are not suspects
+  bool in_trial = false;  // also closed for suspects
+};
+
+/// Free resources of the workers of one service.
+struct ServiceRoom {
+  std::vector<WorkerRoom> workers;
+  std::optional<Resources> smallest_unplaced;  // fitted on no worker; larger requests are skipped
+  bool has_kept = false;     // a worker is kept for a task
+  bool low_use = false;      // at most half of each resource is in use
+};
+
+/// Resources that a team uses, including the starts planned so far.
+struct TeamUsage {
+  const Team* team = nullptr;
+  Resources used;
+};
+
+/// A waiting step that is examined for starts.
+struct Candidate {
+  const Job* job = nullptr;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  const std::string* service = nullptr;
+  ServiceRoom* room = nullptr;
+  TeamUsage* team = nullptr;
+  std::int64_t waited_ms = 0;  // since the occurrence was due
+
+  const Step& Spec() const { return job->spec.steps[step]; }
+  const StepRun& Run() const { return job->At(occurrence, step); }
+  TaskId Task(std::uint32_t index) const { return {job->id, occurrence, step, index}; }
+};
+
+/// One plan: walks over the waiting steps of all services by their ranks.
+class PlanWalk {
+ public:
+  using RankAnew = std::function<void(JobId)>;
+
+  PlanWalk(const State& state, const PlanInput& input, const UnappliedStarts& unapplied,
+           Isolation& isolation, RankAnew rank_anew)
+      : state_(state),
+        input_(input),
+        unapplied_(unapplied),
+        isolation_(isolation),
+        rank_anew_(std::move(rank_anew)) {}
+
+  void Add(const std::string& service, ServiceQueue& queue);
+  std::vector<Assign> Run();
+  /// The first unplaceable step of each service.
+  std::map<std::string, UnplaceableStep> TakeUnplaceable() { return std::move(unplaceable_); }
+  /// Whether the plan ended because it had as many starts as it may have.
+  bool full() const { return full_; }
+
+ private:
+  /// The next step to examine of one service.
+  struct Cursor {
+    const std::string* service = nullptr;
+    ServiceQueue* queue = nullptr;
+    WaitingKey key;
+    int futile = 0;        // see kMaxFutileExaminations
+    bool skipped = false;  // went on after the step at which the last plan had stopped
+  };
+
+  bool Advance(Cursor& cursor);
+  void Examine(Cursor& cursor);
+  Candidate MakeCandidate(const Cursor& cursor, const Job& job);
+  ServiceRoom& RoomOf(const std::string& service);
+  TeamUsage* TeamOf(const Job& job);
+  void Place(const Candidate& candidate);
+  void PlaceGang(const Candidate& candidate);
+  /// Whether the task has a worker for itself, if one can be found.
+  bool StartsAlone(const Candidate& candidate, const Task& task) const;
+  /// Plans the start of a suspect on an empty worker, or keeps a worker for it.
+  void PlaceAlone(const Candidate& candidate, std::uint32_t index,
+                  std::map<WorkerId, std::uint32_t>& per_worker);
+  void KeepWorker(const Candidate& candidate);
+  WorkerRoom* ChooseWorker(const Candidate& candidate,
+                           const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt);
+  void AddStart(const Candidate& candidate, std::uint32_t index, std::uint32_t run,
+                WorkerRoom& room);
+  std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
+  /// Notes the step, none of whose tasks found room, if it is unplaceable.
+  void CheckPlaceable(const Candidate& candidate);
+  /// Whether the step would fit beside the long-running tasks alone.
+  static bool FitsBesideLongRunning(const Candidate& candidate);
+
+  const State& state_;
+  const PlanInput& input_;
+  const UnappliedStarts& unapplied_;
+  Isolation& isolation_;
+  const RankAnew rank_anew_;
+  std::vector<Cursor> cursors_;
+  std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
+  std::unordered_map<std::string_view, TeamUsage> teams_;    // cache of look-ups
+  std::vector<Assign> starts_;
+  std::map<std::string, UnplaceableStep> unplaceable_;
+  int max_futile_ = 0;    // for each service
+  bool scanned_ = false;  // the last examination compared the room of all workers
+  bool full_ = false;
+};
+
+}  // namespace godwitpaddle::jobs::detail
+
+#endif  // GODWITPADDLE_JOBS_PLAN_WALK_H_
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -15,6 +15,7 @@
 
 #include "jobs/start_order.h"
 #include "jobs/state.h"
+#include "jobs/unapplied_starts.h"
 
 /// Chooses which waiting tasks start on which workers, from the replicated state and what the
 /// leader has observed of the workers.
@@ -24,6 +25,7 @@
 struct UsableWorker {
   const Worker* worker = nullptr;
   bool recently_successful = false;  // its latest run that ended on its own ended as done
+  std::size_t unanswered_starts = 0;
 };
 
 struct PlanInput {
@@ -32,23 +34,30 @@
   /// Ratio of actual run times to the clients' estimates for a service; 1 if not set.
   std::function<double(const std::string&)> estimate_factor;
   std::int64_t wall_ms = 0;     // Unix time
+  Micros now = 0;               // monotonic time
   std::size_t max_starts = 64;  // limit for one plan
 };
 
+struct StartPlan {
+  std::vector<Assign> starts;
+  bool full = false;  // has as many starts as it may have; more may be possible
+};
+
 /// Returns the time in milliseconds within which a job should complete after its acceptance, if
 /// actual run times are `estimate_factor` times the estimates. `queue` is null if it was removed.
 std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor);
 
 /// A waiting step whose tasks fit on no usable worker, not even once the short tasks there have
-/// ended, but would fit on an empty one. Its service needs more workers.
-struct Misfit {
+/// ended, though they would fit on an empty one. Its service needs more workers.
+struct UnplaceableStep {
   JobId job = 0;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
-  std::int64_t since_ms = 0;  // Unix time since which plans have found misfits of the service
-  std::int64_t seen_ms = 0;   // Unix time of the latest plan that found this one
+  std::uint32_t tasks = 0;  // waiting ones
+  Micros since = 0;         // since when plans have found unplaceable steps of the service
+  Micros seen = 0;          // time of the latest plan that found this one
 
-  std::int64_t waited_ms() const { return seen_ms - since_ms; }
+  Micros waited() const { return seen - since; }
 };
 
 namespace detail {
@@ -73,16 +82,17 @@
 struct Trial {
   TaskId task;
   std::uint32_t run = 0;
-  std::int64_t planned_ms = 0;  // Unix time
+  Micros planned = 0;
 };
 
-/// A worker that gets no tasks until it is empty and a suspect can start on it.
+/// A worker that gets no other tasks until it is empty and a suspect can start on it, or until a
+/// task fits that has waited for long.
 struct KeptWorker {
   WorkerId worker;
-  std::int64_t wanted_ms = 0;  // Unix time of the latest plan with a suspect that waited for it
+  Micros wanted = 0;  // time of the latest plan with a task that waited for it
 };
 
-/// The workers that suspects (see Task::suspect) have for themselves.
+/// The workers that suspects (see Task::suspect) have for themselves, and those kept for tasks.
 struct Isolation {
   std::map<WorkerId, Trial> trials;
   std::map<std::string, KeptWorker> kept;  // by service
@@ -97,27 +107,38 @@
  public:
   explicit StartPlanner(const State& state) : state_(state) {}
 
-  /// Ranks all jobs of the state anew. Call at the start of a term and after a change of the
-  /// configuration.
+  /// Call at the start of a term.
   void Reset();
+  /// Ranks all jobs of the state anew. Call after a change of the configuration.
+  void RankAll();
   /// Call after each applied command that concerns the job.
   void OnJobChanged(JobId job) { changed_.insert(job); }
-  /// Returns the starts to make, by rank. Together they respect the workers' free capacity, the
-  /// teams' limits and the limits per worker. A step whose rank got worse with time is found when
-  /// it is its turn; one whose rank got better because estimates changed, when all were ranked in
-  /// turn.
-  std::vector<Assign> Plan(const PlanInput& input);
-  /// The first misfit of the latest plans, by service. Long-running steps are not among them.
-  const std::map<std::string, Misfit>& misfits() const { return misfits_; }
+  /// Call after each applied or rejected start.
+  void OnStartApplied(const Assign& start) {
+    unapplied_.Remove(start);
+    OnJobChanged(start.task.job);
+  }
+  /// Returns the starts to make, by rank. Together with those of earlier plans that are not applied yet they respect the workers'
+  /// free capacity, the teams' limits and the limits per worker. A step whose rank got worse with
+  /// time is found when it is its turn; one whose rank got better because estimates changed, when
+  /// all were ranked in turn.
+  StartPlan Plan(const PlanInput& input);
+  /// The starts of earlier plans that are not applied yet.
+  const UnappliedStarts& unapplied() const { return unapplied_; }
+  /// The first unplaceable step of the latest plans, by service. Long-running steps are not among
+  /// them.
+  const std::map<std::string, UnplaceableStep>& unplaceable() const { return unplaceable_; }
 
  private:
   using Position = std::pair<detail::ServiceQueue*, detail::WaitingKey>;
 
   void Update(JobId id, const PlanInput& input);
   void Remove(JobId id);
-  /// Ends trials that are over and releases kept workers for which no suspect waits any more.
-  void UpdateIsolation(std::int64_t wall_ms);
-  void UpdateMisfits(const std::map<std::string, Misfit>& found, std::int64_t wall_ms);
+  /// Whether a task of the step waits, can be started, and is not planned yet.
+  bool HasUnplannedTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) const;
+  /// Ends trials that are over and releases kept workers for which no task waits any more.
+  void UpdateIsolation(Micros now);
+  void UpdateUnplaceable(const std::map<std::string, UnplaceableStep>& found, Micros now);
   /// Has the plan rank the next few jobs anew, all of them in turn.
   void RankNextInTurn();
 
@@ -127,8 +148,9 @@
   std::set<JobId> changed_;                         // to be ranked by the next plan
   std::set<std::pair<std::int64_t, JobId>> later_;  // jobs to be ranked at this Unix time
   JobId last_in_turn_ = 0;                          // see RankNextInTurn
+  UnappliedStarts unapplied_;
   detail::Isolation isolation_;
-  std::map<std::string, Misfit> misfits_;
+  std::map<std::string, UnplaceableStep> unplaceable_;
 };
 
 }  // namespace godwitpaddle::jobs
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -84,6 +84,11 @@
 
 }  // namespace
 
+std::int64_t DueMs(const Job& job, std::uint32_t occurrence) {
+  if (job.spec.repeat_count == 0) return job.accepted_ms;
+  return job.spec.first_due_ms + occurrence * job.spec.interval_ms;
+}
+
 bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
   const StepRun& run = job.At(occurrence, step);
   if (run.done + run.assigned >= run.tasks.size()) return false;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -121,6 +121,10 @@
   }
 };
 
+/// Returns the Unix time in milliseconds from which the occurrence's objective counts. Those of a
+/// repeated job do not start before it.
+std::int64_t DueMs(const Job& job, std::uint32_t occurrence);
+
 /// Whether a task of the step waits and the steps that it depends on are done.
 bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step);
 
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -60,7 +60,7 @@
   double late_vm_answers = 0;
   double throttled_vm_calls = 0;
   double silent_vm_calls = 0;  // neither executed nor answered
-  double reset_vm_calls = 0;  // connection resets; some of the orders are executed
+  double reset_vm_calls = 0;   // connection resets; some of the orders are executed
   /// Models the state of each VM: VMs that are down or whose worker drains are busy, and the list
   /// of VMs includes those of standby pools.
   bool model_vms = false;
--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -98,6 +99,17 @@
   }
 }
 
+// Guards against a pool that names no need for workers because none of its own can be used.
+TEST_CASE("a job whose pool has lost all workers gets VMs") {
+  FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
+  std::set<jobs::WorkerId> all;
+  for (const auto& [id, worker] : pool.cluster.workers()) all.insert(id);
+  for (const jobs::WorkerId& id : all) pool.cluster.CrashWorker(id);
+  pool.cluster.RunFor(3 * kSecond);
+  pool.Submit(MakeJob(kJob, {.count = 2, .size = kTask, .estimate_ms = 640}));
+  CHECK(pool.Runs(kJob));
+}
+
 // Guards against a pool that takes VM after VM for a job that no VM can run.
 TEST_CASE("a job that no VM can run gets none") {
   FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
