Withhold VMs from tasks only while the platform carries out their moves

Cause: a plan of the pools ordered all its moves at once; while the VM service was busy, slow or silent, all these VMs got no tasks, although their workers were up, and nothing took the decision back. Class of fault: a decision that waits in a queue is carried out later although its reason is gone.

Now no more moves are ordered than the platform takes, unanswered ones for at most a quarter of a pool; a move that it refuses for lack of time is given up; while it refuses or leaves orders unanswered no other VM is withheld. A VM that is to move once its tasks have ended gets new ones for jobs that would have nothing running while most of the service is free.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -69,7 +69,11 @@
       maintenance_(options_.maintenance, state, fleet_, orders_, planner_,
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, orders_, maintenance_, planner_, demand_),
-      wait_report_(state, fleet_, [this] { return CordonedVms(); }) {}
+      wait_report_(state, fleet_, [this] {
+        std::unordered_set<std::string_view> vms = CordonedVms();
+        pools_.AddLeavingVms(vms);
+        return vms;
+      }) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
   term_ = term;
@@ -275,6 +279,8 @@
                 {"starts_in_flight", std::to_string(fleet_.StartsInFlight())},
                 {"unapplied_starts", std::to_string(planner_.unapplied().size())},
                 {"unapplied_calls", std::to_string(requesters_.size())},
+                {"moving_vms", std::to_string(pools_.moving())},
+                {"leaving_vms", std::to_string(pools_.leaving())},
                 {"records_scanned", std::to_string(scanned)}};
   for (auto& field : pace_.TakeFields()) fields.push_back(std::move(field));
   out.Log("leader_load", std::move(fields), Severity::kWarning);
@@ -305,12 +311,17 @@
   plan_due_ = false;
   next_plan_ = now + PlanPause(state_);
   std::optional<std::unordered_set<std::string_view>> cordoned;
+  std::unordered_set<std::string_view> leaving;
   const auto usable = [&](const std::string& service) {
-    if (!cordoned) cordoned = CordonedVms();
+    if (!cordoned) {
+      cordoned = CordonedVms();
+      pools_.AddLeavingVms(leaving);
+    }
     auto workers = fleet_.UsableWorkers(service, now);
     std::erase_if(workers, [&](const UsableWorker& one) {
       return cordoned->contains(one.worker->record.vm);
     });
+    for (UsableWorker& one : workers) one.leaving = leaving.contains(one.worker->record.vm);
     return workers;
   };
   const auto factor = [this](const std::string& service) {
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -7,6 +7,12 @@
 namespace {
 
 constexpr Micros kTickPeriod = 100 * kMillisecond;
+/// Period while more moves are planned than the platform took.
+constexpr Micros kShortTickPeriod = 20 * kMillisecond;
+/// One in this many VMs of a pool may be withheld at once by moves that the platform has not
+/// answered; kMinUnansweredMoves VMs in any case.
+constexpr int kUnansweredShare = 4;
+constexpr int kMinUnansweredMoves = 2;
 /// Fraction of a pool's cores that expected work may use. The remainder absorbs bursts and steps
 /// with many tasks.
 constexpr double kTargetUtilisation = 0.7;
@@ -27,14 +33,18 @@
   standby_vms_.clear();
   surplus_since_.clear();
   long_running_waits_.clear();
+  arrived_.clear();
   standby_read_ = false;
 }
 
 void PoolScaler::AddCordonedVms(std::unordered_set<std::string_view>& vms) const {
-  for (const auto& [vm, to] : draining_) vms.insert(vm);
   for (const auto& [vm, move] : moving_) vms.insert(vm);
 }
 
+void PoolScaler::AddLeavingVms(std::unordered_set<std::string_view>& vms) const {
+  for (const auto& [vm, to] : draining_) vms.insert(vm);
+}
+
 void PoolScaler::Tick(Micros now, Outbox& out) {
   if (!IsDue(now)) return;
   next_tick_ = now + kTickPeriod;
@@ -48,15 +58,47 @@
   }
   FinishMoves(now);
   TrackLongRunningWaits(now);
-  std::map<VmId, std::string> draining;
-  std::vector<PoolMove> moves = PlanMoves(DescribePools(now), options_.plan, now);
-  for (const PoolMove& move : moves) draining[move.vm] = move.to;
-  // A VM whose move is no longer planned gets tasks again.
-  draining_ = std::move(draining);
+  std::vector<Pool> pools = DescribePools(now);
+  std::map<std::string, int> pool_vms;
+  for (const Pool& pool : pools) {
+    if (!pool.standby) pool_vms[pool.service] = pool.vms;
+  }
+  const std::vector<PoolMove> moves = PlanMoves(std::move(pools), options_.plan, now);
+  // A VM whose move is no longer planned gets tasks again. So do all while the platform moves none.
+  draining_.clear();
+  if (orders_.IsResponsive(now)) Execute(moves, pool_vms, now, out);
+}
+
+void PoolScaler::Execute(const std::vector<PoolMove>& moves,
+                         const std::map<std::string, int>& pool_vms, Micros now, Outbox& out) {
+  std::size_t slots = orders_.FreeSlots();
+  std::map<std::string, int> unanswered = CountUnanswered();
   for (const PoolMove& move : moves) {
-    // A later tick moves a VM that has tasks, once they have ended.
-    if (!IsBusy(move.vm)) Start(move, now, out);
+    if (IsBusy(move.vm)) {
+      draining_[move.vm] = move.to;  // a later tick moves it, once its tasks have ended
+      continue;
+    }
+    const auto vms = pool_vms.find(move.from);
+    int& from_pool = unanswered[move.from];
+    const bool too_many =
+        vms != pool_vms.end() &&
+        from_pool >= std::max(kMinUnansweredMoves, vms->second / kUnansweredShare);
+    if (slots == 0 || too_many) {
+      next_tick_ = now + kShortTickPeriod;
+      continue;
+    }
+    --slots;
+    ++from_pool;
+    Start(move, now, out);
+  }
+}
+
+std::map<std::string, int> PoolScaler::CountUnanswered() const {
+  std::map<std::string, int> counts;
+  for (const auto& [vm, move] : moving_) {
+    if (move.arrives == 0) ++counts[move.from];
   }
+  return counts;
 }
 
 bool PoolScaler::IsBusy(const VmId& vm) const {
@@ -85,6 +127,7 @@
   std::erase_if(moving_, [&](const auto& entry) {
     const VmMove& moving = entry.second;
     if (HasArrived(entry.first, moving)) {
+      arrived_[moving.to] = now;
       orders_.Release(entry.first);
       return true;
     }
@@ -165,6 +208,9 @@
     const Job* job = state_.FindJob(unplaceable.job);
     const bool waits = job != nullptr && job->active() && unplaceable.waited() > kMinWait;
     if (!waits) continue;
+    // A plan may not have used the VM yet that arrived for the step.
+    const auto arrived = arrived_.find(service);
+    if (arrived != arrived_.end() && unplaceable.seen < arrived->second + kTickPeriod) continue;
     const Step& step = job->spec.steps[unplaceable.step];
     // Short tasks that must not share a worker may run one after the other.
     const std::uint32_t together = step.gang ? step.max_per_worker : 0;
@@ -224,8 +270,7 @@
 }
 
 void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
-  draining_.erase(move.vm);
-  moving_[move.vm] = {.to = move.to, .ordered = now};
+  moving_[move.vm] = {.from = move.from, .to = move.to, .ordered = now};
   out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
   out.Count("vm_moves_total");
   orders_.Claim(move.vm);
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -1,10 +1,12 @@
 #ifndef GODWITPADDLE_CONTROL_POOL_SCALER_H_
 #define GODWITPADDLE_CONTROL_POOL_SCALER_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "control/events.h"
 #include "control/maintenance.h"
@@ -40,13 +42,19 @@
   /// Does nothing unless IsDue.
   void Tick(Micros now, Outbox& out);
   bool IsDue(Micros now) const { return now >= next_tick_; }
-  /// Adds the VMs that must not get new tasks because they are to be moved.
+  /// Adds the VMs that must not get new tasks because the platform moves them, or was asked to.
   void AddCordonedVms(std::unordered_set<std::string_view>& vms) const;
+  /// Adds the VMs that are to be moved once they have no tasks. They should get no new ones.
+  void AddLeavingVms(std::unordered_set<std::string_view>& vms) const;
+  /// Number of VMs that are down or withheld from tasks because of moves, and of leaving VMs.
+  std::size_t moving() const { return moving_.size(); }
+  std::size_t leaving() const { return draining_.size(); }
   /// Whether the VM is being moved to another pool.
   bool IsMoving(const VmId& vm) const { return moving_.contains(vm); }
 
  private:
   struct VmMove {
+    std::string from;     // pool
     std::string to;       // target pool
     Micros ordered = 0;   // time at which the order was given
     Micros accepted = 0;  // time at which the platform answered that the move is done; 0: not yet
@@ -70,6 +78,11 @@
   /// Whether a worker on the VM has tasks.
   bool IsBusy(const VmId& vm) const;
   bool HasArrived(const VmId& vm, const VmMove& move) const;
+  /// Starts the moves of VMs without tasks, as many as the platform takes, and drains the others.
+  void Execute(const std::vector<PoolMove>& moves, const std::map<std::string, int>& pool_vms,
+               Micros now, Outbox& out);
+  /// Number of moves out of each pool that the platform has not answered.
+  std::map<std::string, int> CountUnanswered() const;
   /// Orders the move of a VM that has no tasks.
   void Start(const PoolMove& move, Micros now, Outbox& out);
   void OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out);
@@ -88,6 +101,7 @@
   /// Whether `standby_vms_` was filled, once in this term, from the platform's list of VMs.
   bool standby_read_ = false;
   std::map<std::string, Micros> surplus_since_;  // by pool; 0: no surplus
+  std::map<std::string, Micros> arrived_;        // time of the last arrival of a VM, by pool
   std::map<TaskId, Micros> long_running_waits_;  // start of the wait of each long-running task
 };
 
--- a/control/vm_orders.cc
+++ b/control/vm_orders.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Micros kOrderRetry = 500 * kMillisecond;
+/// The platform is not responsive while a call waits longer than this for its answer.
+constexpr Micros kSlowAnswer = 500 * kMillisecond;
 /// Orders may be sent together that the platform accepts within this time.
 constexpr double kBurstSeconds = 0.25;
 constexpr Micros kListRetry = kSecond;
@@ -26,12 +28,14 @@
   return "list";
 }
 
+/// Whether the call was certainly not carried out, for lack of time or of a connection.
+bool HadNoTime(VmOutcome outcome) {
+  return outcome == VmOutcome::kThrottled || outcome == VmOutcome::kNotSent;
+}
+
 /// Whether the order was certainly executed or will certainly never be. Orders with another outcome
 /// are retried.
-bool IsFinal(VmOutcome outcome) {
-  return outcome != VmOutcome::kUnknown && outcome != VmOutcome::kThrottled &&
-         outcome != VmOutcome::kNotSent;
-}
+bool IsFinal(VmOutcome outcome) { return outcome != VmOutcome::kUnknown && !HadNoTime(outcome); }
 
 }  // namespace
 
@@ -53,6 +57,7 @@
   claims_.clear();
   vms_.clear();
   partial_list_.clear();
+  busy_until_ = 0;
   list_in_flight_ = false;
   next_page_.clear();
 }
@@ -93,6 +98,14 @@
   due_.emplace(0, vm);
 }
 
+bool VmOrders::IsResponsive(Micros now) const {
+  if (now < busy_until_) return false;
+  return std::ranges::none_of(orders_, [&](const auto& entry) {
+    const PendingOrder& order = entry.second;
+    return order.may_be_done || (order.token != 0 && now - order.sent_at > kSlowAnswer);
+  });
+}
+
 std::uint64_t VmOrders::Send(const VmId& vm, VmOrder order, Micros now, Outbox& out) {
   const std::uint64_t token = next_token_++;
   sent_[token] = vm;
@@ -135,6 +148,7 @@
     pending.recorded = false;
     pending.record_proposed = false;
     ++pending.sends;
+    pending.sent_at = now;
     pending.token = Send(vm, pending.order, now, out);
   } else if (!pending.record_proposed) {
     if (!TakeSlot(now)) {
@@ -181,7 +195,11 @@
            {"sends", std::to_string(found->second.sends)},
            {"age_ms", std::to_string(age / kMillisecond)}},
           found->second.sends > 1 ? Severity::kWarning : Severity::kInfo);
-  if (!IsFinal(outcome)) {
+  found->second.may_be_done = found->second.may_be_done || outcome == VmOutcome::kUnknown;
+  if (HadNoTime(outcome)) busy_until_ = now + kOrderRetry;
+  const bool abandoned = HadNoTime(outcome) && !found->second.may_be_done &&
+                         std::holds_alternative<MoveVm>(found->second.order);
+  if (!IsFinal(outcome) && !abandoned) {
     found->second.token = 0;
     due_.emplace(now + kOrderRetry, vm);
     return;
--- a/control/vm_orders.h
+++ b/control/vm_orders.h
@@ -1,6 +1,7 @@
 #ifndef GODWITPADDLE_CONTROL_VM_ORDERS_H_
 #define GODWITPADDLE_CONTROL_VM_ORDERS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -23,12 +24,13 @@
 };
 
 /// Sends the leader's orders to the platform: at most one at a time for each VM, retried until its
-/// outcome is final. The component that takes a VM down claims it until the VM is back. Each order
-/// is recorded in the replicated log before it is sent. A new leader thus knows for which VMs an
-/// order of the previous leader may still be in flight, and may give orders for the others at once.
-/// At most kMaxVmOrdersInProgress orders are recorded or sent at a time, and no more a second than
-/// the platform accepts. The others wait before they are recorded: an order that waited after that
-/// would be too old to be sent.
+/// outcome is final. A move that the platform has no time for, and has certainly not carried out,
+/// is not retried: its VM is of more use where it is. The component that takes a VM down claims it
+/// until the VM is back. Each order is recorded in the replicated log before it is sent. A new
+/// leader thus knows for which VMs an order of the previous leader may still be in flight, and may
+/// give orders for the others at once. At most kMaxVmOrdersInProgress orders are recorded or sent
+/// at a time, and no more a second than the platform accepts. The others wait before they are
+/// recorded: an order that waited after that would be too old to be sent.
 class VmOrders {
  public:
   /// Called once, with the final outcome of an order.
@@ -53,6 +55,13 @@
   bool IsClaimed(const VmId& vm) const { return claims_.contains(vm); }
   void Claim(const VmId& vm) { claims_.insert(vm); }
   void Release(const VmId& vm) { claims_.erase(vm); }
+  /// Number of orders that can be given now without waiting for earlier ones.
+  std::size_t FreeSlots() const {
+    return kMaxVmOrdersInProgress - std::min(kMaxVmOrdersInProgress, orders_.size());
+  }
+  /// Whether the platform carries out orders: it has refused none for lack of time just before, and
+  /// no call has been waiting long for its answer.
+  bool IsResponsive(Micros now) const;
   /// Queues an order for a VM. Throws StateError if the VM has an unfinished order.
   void Order(const VmId& vm, VmOrder order, Done done);
   /// The list of VMs in this term; empty until a list with VMs has arrived.
@@ -66,10 +75,12 @@
     VmOrder order;
     Done done;
     bool record_proposed = false;
-    bool recorded = false;    // the record is applied: the next call may be sent
-    int sends = 0;            // calls sent
-    Micros ordered = 0;       // time at which Order was called
-    std::uint64_t token = 0;  // of the call in flight; 0: none
+    bool recorded = false;     // the record is applied: the next call may be sent
+    int sends = 0;             // calls sent
+    Micros ordered = 0;        // time at which Order was called
+    Micros sent_at = 0;        // of the last call
+    bool may_be_done = false;  // an earlier call may have been carried out
+    std::uint64_t token = 0;   // of the call in flight; 0: none
   };
 
   /// The record of an order that was applied while this process was running.
@@ -104,6 +115,7 @@
   std::size_t active_ = 0;    // recorded or sent and not answered, see kMaxVmOrdersInProgress
   double accepted_ = 0;       // orders that the platform accepts now
   Micros accepted_at_ = 0;    // time for which `accepted_` holds
+  Micros busy_until_ = 0;     // the platform had no time for an order just before
   std::set<VmId> claims_;
   bool list_due_ = false;  // the list is to be requested
   bool list_in_flight_ = false;
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -19,6 +19,8 @@
 /// A suspect starts beside other tasks if no worker has become empty for this long after its latest
 /// loss: a job must not be idle for 3 s beside free room.
 constexpr std::int64_t kAloneWaitMs = 2'000;
+/// A job with nothing running may use a leaving worker once it has waited this long.
+constexpr std::int64_t kLeavingWaitMs = 1'000;
 bool WithinLimit(const TeamUsage& usage, const Resources& size) {
   if (usage.team == nullptr) return true;
   const Resources total = usage.used + size;
@@ -40,12 +42,12 @@
 
 /// Whether nothing runs on the worker and nothing will.
 bool IsEmpty(const WorkerRoom& room) {
-  return !room.in_trial && room.starts == 0 && room.worker->tasks.empty();
+  return !room.in_trial && !room.leaving && room.starts == 0 && room.worker->tasks.empty();
 }
 
 /// Whether the worker is empty once its tasks have ended, if it gets no others.
 bool EmptiesItself(const WorkerRoom& room) {
-  return !room.in_trial && room.long_running_tasks == 0;
+  return !room.in_trial && !room.leaving && room.long_running_tasks == 0;
 }
 
 /// Whether the step fits on any worker with enough room, wherever its other tasks run.
@@ -194,6 +196,7 @@
          .long_running_tasks = worker.long_running_tasks + load.long_running_starts,
          .long_running_used = worker.long_running_used + load.long_running_used,
          .recently_successful = one.recently_successful,
+         .leaving = one.leaving,
          .closed = in_trial || is_kept || unanswered,
          .in_trial = in_trial});
   }
@@ -340,6 +343,15 @@
   }
 }
 
+bool PlanWalk::IsOpenFor(const Candidate& candidate, const WorkerRoom& room) {
+  if (room.closed) return false;
+  if (!room.leaving) return true;
+  // The move can wait, or take another VM. While the service is well used, its jobs wait for
+  // others to end, so that VMs get free for the move.
+  return candidate.room->low_use && candidate.job->assigned == 0 &&
+         (candidate.Spec().long_running || candidate.waited_ms >= kLeavingWaitMs);
+}
+
 WorkerRoom* PlanWalk::ChooseWorker(const Candidate& candidate,
                                    const std::map<WorkerId, std::uint32_t>& per_worker,
                                    bool last_attempt) {
@@ -349,10 +361,15 @@
   if (service.smallest_unplaced && service.smallest_unplaced->FitsInto(footprint)) return nullptr;
   scanned_ = true;
   WorkerRoom* best = nullptr;
-  std::tuple<bool, bool, bool, std::int64_t> best_score;
+  std::tuple<bool, bool, bool, bool, std::int64_t> best_score;
+  bool has_restricted_room = false;  // on a worker that other candidates may use
   for (WorkerRoom& room : service.workers) {
     const WorkerRecord& record = room.worker->record;
-    if (room.closed || !footprint.FitsInto(room.free) || !Suits(step, record)) continue;
+    if (!footprint.FitsInto(room.free) || !Suits(step, record)) continue;
+    if (!IsOpenFor(candidate, room)) {
+      has_restricted_room = has_restricted_room || room.leaving;
+      continue;
+    }
     if (step.max_per_worker > 0) {
       const auto count = per_worker.find(record.id);
       if (count != per_worker.end() && count->second >= step.max_per_worker) continue;
@@ -360,13 +377,13 @@
     const bool near_data = step.data_rack.empty() || record.rack() == step.data_rack;
     // Prefers fuller workers, so that others become idle, and concentrates long-running tasks on
     // few workers. A task's last attempt prefers a recently successful worker.
-    const std::tuple score(near_data, room.recently_successful || !last_attempt,
+    const std::tuple score(!room.leaving, near_data, room.recently_successful || !last_attempt,
                            step.long_running && room.long_running_tasks > 0, -room.free.cpu);
     if (best != nullptr && score <= best_score) continue;
     best = &room;
     best_score = score;
   }
-  const bool fits_nowhere = best == nullptr && IsUnrestricted(step);
+  const bool fits_nowhere = best == nullptr && !has_restricted_room && IsUnrestricted(step);
   if (fits_nowhere) service.smallest_unplaced = footprint;
   return best;
 }
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -39,6 +39,7 @@
   std::size_t long_running_tasks = 0;  // with those of unapplied starts
   Resources long_running_used;
   bool recently_successful = false;
+  bool leaving = false;   // see UsableWorker
   bool closed = false;    // for tasks that are not suspects
   bool in_trial = false;  // also closed for suspects
 };
@@ -115,6 +116,8 @@
   void PlaceAlone(const Candidate& candidate, std::uint32_t index,
                   std::map<WorkerId, std::uint32_t>& per_worker);
   void KeepWorker(const Candidate& candidate);
+  /// Whether the worker may get tasks of the candidate that are not suspects.
+  static bool IsOpenFor(const Candidate& candidate, const WorkerRoom& room);
   WorkerRoom* ChooseWorker(const Candidate& candidate,
                            const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt);
   void AddStart(const Candidate& candidate, std::uint32_t index, std::uint32_t run,
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -26,6 +26,9 @@
   const Worker* worker = nullptr;
   bool recently_successful = false;  // its latest run that ended on its own ended as done
   std::size_t unanswered_starts = 0;
+  /// Its VM is to be moved to another pool once it has no tasks. It gets tasks only if they would
+  /// have to wait otherwise while most of the service's room is free.
+  bool leaving = false;
 };
 
 struct PlanInput {
