Give overdue jobs a share of the starts

Cause: expired jobs come last, with no bound on their wait. Jobs that have waited for 10 s now get one in eight starts of their service, or one a second; a worker is kept for those that find no room for 20 s.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -21,6 +21,20 @@
 constexpr std::int64_t kAloneWaitMs = 2'000;
 /// A job with nothing running may use a leaving worker once it has waited this long.
 constexpr std::int64_t kLeavingWaitMs = 1'000;
+/// An expired job gets a share of the starts once it has waited this long. Otherwise it would wait
+/// for as long as jobs arrive that can still be in time.
+constexpr std::int64_t kOverdueMs = 10'000;
+/// A worker is kept for a step that has waited this long and finds no room even then.
+constexpr std::int64_t kKeepForOverdueMs = 20'000;
+/// One in this many starts of a service is for an overdue job.
+constexpr int kOverdueShare = 8;
+/// A service has a start of an overdue job at least this often, if there is room.
+constexpr Micros kOverduePeriod = kSecond;
+/// Shares that a service may save for later.
+constexpr int kMaxSavedShares = 16;
+/// Limit of the overdue steps of one service that one plan examines.
+constexpr int kMaxOverdueExaminations = 16;
+
 bool WithinLimit(const TeamUsage& usage, const Resources& size) {
   if (usage.team == nullptr) return true;
   const Resources total = usage.used + size;
@@ -93,6 +107,10 @@
 std::vector<Assign> PlanWalk::Run() {
   const int share = kMaxFutileOfPlan / std::max(1, static_cast<int>(cursors_.size()));
   max_futile_ = std::clamp(share, kMinFutileExaminations, kMaxFutileExaminations);
+  for (Cursor& cursor : cursors_) {
+    StartOverdue(cursor);
+    cursor.key = cursor.queue->waiting.begin()->first;  // the former one may have been ranked anew
+  }
   std::ranges::make_heap(cursors_, std::greater(), &Cursor::key);
   while (!cursors_.empty() && starts_.size() < input_.max_starts) {
     std::ranges::pop_heap(cursors_, std::greater(), &Cursor::key);
@@ -144,6 +162,7 @@
 
 void PlanWalk::Examine(Cursor& cursor) {
   state_.CountScanned(1);
+  if (overdue_started_.contains(cursor.key)) return;
   ServiceRoom& room = RoomOf(*cursor.service);
   const Resources& footprint = cursor.queue->waiting.at(cursor.key);
   // A step that needs no more than this one has not fitted on any worker in this plan.
@@ -163,9 +182,48 @@
   } else {
     Place(candidate);
   }
-  if (starts_.size() > before) return;
+  const std::size_t placed = starts_.size() - before;
+  if (placed > 0) {
+    const int most = kMaxSavedShares * kOverdueShare;
+    cursor.queue->overdue_credit =
+        std::min(most, cursor.queue->overdue_credit + static_cast<int>(placed));
+    return;
+  }
   cursor.futile += scanned_ ? kScanCost : 1;
-  if (scanned_) CheckPlaceable(candidate);
+  if (!scanned_) return;
+  CheckPlaceable(candidate);
+  if (rank.expired && candidate.waited_ms >= kKeepForOverdueMs) KeepWorker(candidate);
+}
+
+void PlanWalk::StartOverdue(const Cursor& of_service) {
+  ServiceQueue& queue = *of_service.queue;
+  const auto& waiting = queue.waiting;
+  // Expired steps are the last ones of a queue, those with the earliest deadlines first.
+  const WaitingKey first_expired{.rank = {.expired = true}};
+  auto next = waiting.lower_bound(first_expired);
+  if (next == waiting.end()) return;
+  // Also while no other step of the service starts.
+  const bool none_lately = input_.now - queue.last_overdue_start >= kOverduePeriod;
+  if (none_lately) queue.overdue_credit = std::max(queue.overdue_credit, kOverdueShare);
+  Cursor cursor = of_service;
+  for (int i = 0; i < kMaxOverdueExaminations && next != waiting.end(); ++i) {
+    if (queue.overdue_credit < kOverdueShare || starts_.size() >= input_.max_starts) return;
+    cursor.key = next->first;
+    const Job& job = *state_.FindJob(cursor.key.job);
+    if (input_.wall_ms - DueMs(job, cursor.key.occurrence) >= kOverdueMs &&
+        !RoomOf(*cursor.service).workers.empty()) {
+      const std::size_t before = starts_.size();
+      const int credit = queue.overdue_credit;
+      Examine(cursor);
+      const int started = static_cast<int>(starts_.size() - before);
+      queue.overdue_credit = credit - kOverdueShare * started;
+      if (started > 0) {
+        queue.last_overdue_start = input_.now;
+        overdue_started_.insert(cursor.key);
+      }
+    }
+    next = waiting.upper_bound(cursor.key);
+  }
 }
 
 ServiceRoom& PlanWalk::RoomOf(const std::string& service) {
@@ -198,6 +256,7 @@
          .recently_successful = one.recently_successful,
          .leaving = one.leaving,
          .closed = in_trial || is_kept || unanswered,
+         .kept = is_kept && !unanswered,
          .in_trial = in_trial});
   }
   room.low_use = (used + used).FitsInto(capacity);
@@ -285,6 +344,7 @@
   AddStart(candidate, index, run, *room);
   ++per_worker[id];
   room->closed = true;
+  room->kept = false;
   room->in_trial = true;
   isolation_.trials[id] = {.task = starts_.back().task, .run = run, .planned = input_.now};
   const auto kept = isolation_.kept.find(*candidate.service);
@@ -307,6 +367,7 @@
   }
   if (best == nullptr) return;
   best->closed = true;
+  best->kept = true;
   service.has_kept = true;
   isolation_.kept[*candidate.service] = {.worker = best->worker->record.id, .wanted = input_.now};
 }
@@ -344,7 +405,7 @@
 }
 
 bool PlanWalk::IsOpenFor(const Candidate& candidate, const WorkerRoom& room) {
-  if (room.closed) return false;
+  if (room.closed) return room.kept && candidate.waited_ms >= kKeepForOverdueMs;
   if (!room.leaving) return true;
   // The move can wait, or take another VM. While the service is well used, its jobs wait for
   // others to end, so that VMs get free for the move.
@@ -367,7 +428,7 @@
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.free) || !Suits(step, record)) continue;
     if (!IsOpenFor(candidate, room)) {
-      has_restricted_room = has_restricted_room || room.leaving;
+      has_restricted_room = has_restricted_room || room.kept || room.leaving;
       continue;
     }
     if (step.max_per_worker > 0) {
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -41,6 +42,7 @@
   bool recently_successful = false;
   bool leaving = false;   // see UsableWorker
   bool closed = false;    // for tasks that are not suspects
+  bool kept = false;      // see KeptWorker; also closed
   bool in_trial = false;  // also closed for suspects
 };
 
@@ -105,6 +107,8 @@
 
   bool Advance(Cursor& cursor);
   void Examine(Cursor& cursor);
+  /// Starts the steps of the service that have waited for long, as far as their share goes.
+  void StartOverdue(const Cursor& of_service);
   Candidate MakeCandidate(const Cursor& cursor, const Job& job);
   ServiceRoom& RoomOf(const std::string& service);
   TeamUsage* TeamOf(const Job& job);
@@ -137,6 +141,7 @@
   std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
   std::unordered_map<std::string_view, TeamUsage> teams_;    // cache of look-ups
   std::vector<Assign> starts_;
+  std::set<WaitingKey> overdue_started_;  // steps of which this plan has starts already
   std::map<std::string, UnplaceableStep> unplaceable_;
   int max_futile_ = 0;    // for each service
   bool scanned_ = false;  // the last examination compared the room of all workers
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -79,6 +79,9 @@
   std::map<WaitingKey, Resources> waiting;  // with the footprint of one task
   /// The last plan stopped examining after this step; empty: it examined all.
   std::optional<WaitingKey> resume_after;
+  /// Starts since the last one of an overdue job, by which overdue jobs get their share.
+  int overdue_credit = 0;
+  Micros last_overdue_start = 0;
 };
 
 /// A start of a suspect, which has its worker for itself.
@@ -121,7 +124,8 @@
     unapplied_.Remove(start);
     OnJobChanged(start.task.job);
   }
-  /// Returns the starts to make, by rank. Together with those of earlier plans that are not applied yet they respect the workers'
+  /// Returns the starts to make, by rank, but for a share that goes to jobs that have waited for
+  /// long. Together with those of earlier plans that are not applied yet they respect the workers'
   /// free capacity, the teams' limits and the limits per worker. A step whose rank got worse with
   /// time is found when it is its turn; one whose rank got better because estimates changed, when
   /// all were ranked in turn.
