Find an unplaceable step behind a smaller one that only waits

A step that needs no less than one that found no room is skipped in a plan, so a small step that only waits for short tasks hid a larger one that fits on no worker. Skipped steps are now checked for that, at most eight in a plan and service.

unplaceable_step_test failed before: no step was named.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -14,6 +14,9 @@
 /// less than kMinFutileExaminations each.
 constexpr int kMaxFutileOfPlan = 4'096;
 constexpr int kMinFutileExaminations = 4 * kScanCost;
+/// Steps of one service whose room is not compared anew and that are checked nevertheless for
+/// whether they are unplaceable.
+constexpr int kMaxPlaceableChecks = 8;
 /// A worker gets no more tasks while this many starts wait for its answer: it may be about to fail.
 constexpr std::size_t kMaxUnansweredStarts = 4;
 /// A suspect starts beside other tasks if no worker has become empty for this long after its latest
@@ -168,7 +171,11 @@
   // A step that needs no more than this one has not fitted on any worker in this plan.
   if (!room.has_kept && room.smallest_unplaced && room.smallest_unplaced->FitsInto(footprint)) {
     ++cursor.futile;
-    return;
+    const bool placeable = room.largest_placeable && footprint.FitsInto(*room.largest_placeable);
+    if (placeable || unplaceable_.contains(*cursor.service)) return;
+    if (++room.placeable_checks > kMaxPlaceableChecks) return;
+    cursor.futile += kScanCost;
+    return CheckPlaceable(MakeCandidate(cursor, *state_.FindJob(cursor.key.job)));
   }
   const Job& job = *state_.FindJob(cursor.key.job);
   const StartRank rank = JobTimes(job, QueueOf(job, state_), input_)
@@ -483,7 +490,12 @@
   ServiceRoom& room = *candidate.room;
   const auto suits = [&](const WorkerRoom& one) { return Suits(step, one.worker->record); };
   if (std::ranges::none_of(room.workers, suits)) return;  // more of the same kind would not help
-  if (FitsBesideLongRunning(candidate)) return;
+  if (FitsBesideLongRunning(candidate)) {
+    const Resources footprint = step.footprint();
+    const bool larger = !room.largest_placeable || room.largest_placeable->FitsInto(footprint);
+    if (larger && IsUnrestricted(step) && !step.gang) room.largest_placeable = footprint;
+    return;
+  }
   const StepRun& run = candidate.Run();
   const auto tasks = static_cast<std::uint32_t>(run.tasks.size() - run.done - run.assigned);
   unplaceable_[*candidate.service] = {.job = candidate.job->id,
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -50,6 +50,9 @@
 struct ServiceRoom {
   std::vector<WorkerRoom> workers;
   std::optional<Resources> smallest_unplaced;  // fitted on no worker; larger requests are skipped
+  /// Would fit once the short tasks of a worker have ended; smaller requests would too.
+  std::optional<Resources> largest_placeable;
+  int placeable_checks = 0;  // of skipped steps
   bool has_kept = false;     // a worker is kept for a task
   bool low_use = false;      // at most half of each resource is in use
 };
