Give a service a VM whose free room is broken up by short tasks

A step that would fit beside the long-running tasks alone was not named, however long short tasks left it too little room. It is now, if its job has nothing running and at most half of the service is in use.

unplaceable_step_test failed before: no step was named.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -491,10 +491,14 @@
   const auto suits = [&](const WorkerRoom& one) { return Suits(step, one.worker->record); };
   if (std::ranges::none_of(room.workers, suits)) return;  // more of the same kind would not help
   if (FitsBesideLongRunning(candidate)) {
-    const Resources footprint = step.footprint();
-    const bool larger = !room.largest_placeable || room.largest_placeable->FitsInto(footprint);
-    if (larger && IsUnrestricted(step) && !step.gang) room.largest_placeable = footprint;
-    return;
+    // With most of the room free, it is the short tasks that lie badly, and others may follow them.
+    const bool broken_up = room.low_use && candidate.job->assigned == 0;
+    if (!broken_up) {
+      const Resources footprint = step.footprint();
+      const bool larger = !room.largest_placeable || room.largest_placeable->FitsInto(footprint);
+      if (larger && IsUnrestricted(step) && !step.gang) room.largest_placeable = footprint;
+      return;
+    }
   }
   const StepRun& run = candidate.Run();
   const auto tasks = static_cast<std::uint32_t>(run.tasks.size() - run.done - run.assigned);
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -50,8 +50,9 @@
 /// actual run times are `estimate_factor` times the estimates. `queue` is null if it was removed.
 std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor);
 
-/// A waiting step whose tasks fit on no usable worker, not even once the short tasks there have
-/// ended, though they would fit on an empty one. Its service needs more workers.
+/// A waiting step whose tasks fit on no usable worker, though they would fit on an empty one:
+/// either not even once the short tasks there have ended, or its job has nothing running and short
+/// tasks break up the room of a service most of which is free. Its service needs more workers.
 struct UnplaceableStep {
   JobId job = 0;
   std::uint32_t occurrence = 0;
