Give no VMs for tasks beyond the limit of their team

An unplaceable step asked for VMs for all of its waiting tasks. It counts now those that the team may run.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -484,6 +484,20 @@
   return false;
 }
 
+std::uint32_t PlanWalk::CountWithinLimit(const Candidate& candidate) const {
+  TeamUsage usage = *candidate.team;
+  std::uint32_t count = 0;
+  const auto& tasks = candidate.Run().tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (tasks[index].phase != TaskPhase::kWaiting) continue;
+    if (unapplied_.Contains(candidate.Task(index))) continue;
+    if (!WithinLimit(usage, candidate.Spec().size)) break;
+    usage.used += candidate.Spec().size;
+    ++count;
+  }
+  return count;
+}
+
 void PlanWalk::CheckPlaceable(const Candidate& candidate) {
   const Step& step = candidate.Spec();
   if (step.long_running || unplaceable_.contains(*candidate.service)) return;
@@ -500,8 +514,8 @@
       return;
     }
   }
-  const StepRun& run = candidate.Run();
-  const auto tasks = static_cast<std::uint32_t>(run.tasks.size() - run.done - run.assigned);
+  const std::uint32_t tasks = CountWithinLimit(candidate);
+  if (tasks == 0) return;
   unplaceable_[*candidate.service] = {.job = candidate.job->id,
                                       .occurrence = candidate.occurrence,
                                       .step = candidate.step,
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -134,6 +134,8 @@
   void CheckPlaceable(const Candidate& candidate);
   /// Whether the step would fit beside the long-running tasks alone.
   static bool FitsBesideLongRunning(const Candidate& candidate);
+  /// Number of the step's waiting tasks that the limit of the team allows.
+  std::uint32_t CountWithinLimit(const Candidate& candidate) const;
 
   const State& state_;
   const PlanInput& input_;
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -57,7 +57,7 @@
   JobId job = 0;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
-  std::uint32_t tasks = 0;  // waiting ones
+  std::uint32_t tasks = 0;  // waiting ones that the limit of the team allows
   Micros since = 0;         // since when plans have found unplaceable steps of the service
   Micros seen = 0;          // time of the latest plan that found this one
 
--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -21,10 +21,13 @@
 /// A job must not have nothing running for longer than 3 s while there is room for it; a VM is up
 /// in its new pool within 3 s.
 constexpr Micros kMaxWait = 6 * kSecond;
+/// Two such tasks take the memory of a VM, and as much CPU as their team may use.
+constexpr jobs::Resources kHalfVm{.cpu = 1'000, .memory_mb = kVm.memory_mb / 2};
+constexpr const char* kSmallTeamKey = "k1";
 
-jobs::JobCall MakeJob(jobs::JobId id, jobs::Step step) {
+jobs::JobCall MakeJob(jobs::JobId id, jobs::Step step, const std::string& prefix = "/q/") {
   jobs::JobCall call{
-      .kind = jobs::JobCallKind::kSubmit, .host = "shop", .path = "/q/" + jobs::FormatJob(id)};
+      .kind = jobs::JobCallKind::kSubmit, .host = "shop", .path = prefix + jobs::FormatJob(id)};
   call.spec.payload = std::to_string(step.size.cpu) + " " + std::to_string(step.estimate_ms);
   call.spec.steps = {std::move(step)};
   return call;
@@ -47,6 +50,12 @@
                              .target_latency_ms = 600,
                              .timeout_ms = 3'000,
                              .open = true}};
+    configuration.queues.push_back(configuration.queues[0]);
+    configuration.queues[1].name = "mills";
+    configuration.queues[1].prefix = "/mill/";
+    configuration.queues[1].open = false;
+    configuration.teams = {
+        {.name = "mill", .keys = {kSmallTeamKey}, .limit = {.cpu = 2 * kHalfVm.cpu}}};
     cluster.standby_pools = {"off"};
     REQUIRE(cluster.RunUntilTrue([&] { return cluster.Leader().has_value(); }, 5 * kSecond));
     cluster.RunFor(kSecond);
@@ -99,6 +108,18 @@
   }
 }
 
+// Guards against VMs that are moved for tasks which the limit of their team does not let start.
+TEST_CASE("a job gets VMs only for the tasks that its team may run") {
+  FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
+  jobs::JobCall call =
+      MakeJob(kJob, {.count = 12, .size = kHalfVm, .estimate_ms = 3'000}, "/mill/");
+  call.key = kSmallTeamKey;
+  pool.Submit(call);
+  CHECK(pool.Runs(kJob));
+  pool.cluster.RunFor(kSecond);
+  CHECK(pool.cluster.moved == 1);
+}
+
 // Guards against a pool that names no need for workers because none of its own can be used.
 TEST_CASE("a job whose pool has lost all workers gets VMs") {
   FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
