Leave empty workers to suspects after a gang was given up

The workers on which a gang was tried counted as started on for the rest of the plan. unplaceable_step_test failed before: 0 starts, expected 1.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -400,7 +400,10 @@
     WorkerRoom* room = within ? ChooseWorker(candidate, per_worker, false) : nullptr;
     if (room == nullptr) {
       if (index > 0) candidate.room->smallest_unplaced = smallest_before;
-      for (WorkerRoom* one : chosen) one->free += step.footprint();
+      for (WorkerRoom* one : chosen) {
+        one->free += step.footprint();
+        --one->starts;
+      }
       starts_.resize(first_start);
       candidate.team->used = used_before;
       return;
