Start jobs although the time of day was set back

Found by reading the planner: a job that runs once waited until the leader's time of day had reached that of its acceptance, beside any room. A new leader's clock may be seconds behind.

unplaceable_step_test, "a job starts although the time of day was set back"; the former code has no start before the time of acceptance.

--- a/control/wait_report.cc
+++ b/control/wait_report.cc
@@ -56,9 +56,7 @@
 
 void WaitReport::ExamineJob(const Job& job, Micros now, WallMs wall, Outbox& out) {
   for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences(); ++occurrence) {
-    const std::int64_t due =
-        job.spec.repeat_count == 0 ? 0 : job.spec.first_due_ms + occurrence * job.spec.interval_ms;
-    if (due > wall) return;
+    if (!IsOccurrenceDue(job, occurrence, wall)) return;
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
       const bool idle = job.assigned == 0 || job.spec.steps[step].long_running;
       if (!idle || !HasStartableTask(job, occurrence, step)) continue;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -80,9 +80,8 @@
   const JobTimes times(*job, queue, input);
   ServiceQueue& waiting = queues_[ServiceOf(*job, queue)];
   for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences(); ++occurrence) {
-    const std::int64_t due = DueMs(*job, occurrence);
-    if (due > input.wall_ms) {
-      later_.emplace(due, id);
+    if (!IsOccurrenceDue(*job, occurrence, input.wall_ms)) {
+      later_.emplace(DueMs(*job, occurrence), id);
       break;
     }
     for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -89,6 +89,10 @@
   return job.spec.first_due_ms + occurrence * job.spec.interval_ms;
 }
 
+bool IsOccurrenceDue(const Job& job, std::uint32_t occurrence, std::int64_t wall_ms) {
+  return job.spec.repeat_count == 0 || DueMs(job, occurrence) <= wall_ms;
+}
+
 bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
   const StepRun& run = job.At(occurrence, step);
   if (run.done + run.assigned >= run.tasks.size()) return false;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -125,6 +125,10 @@
 /// repeated job do not start before it.
 std::int64_t DueMs(const Job& job, std::uint32_t occurrence);
 
+/// Whether the occurrence may start at this Unix time. One that runs once may, even if the time of
+/// day was set back after its acceptance.
+bool IsOccurrenceDue(const Job& job, std::uint32_t occurrence, std::int64_t wall_ms);
+
 /// Whether a task of the step waits and the steps that it depends on are done.
 bool HasStartableTask(const Job& job, std::uint32_t occurrence, std::uint32_t step);
 
