--- a/control/leader.cc
+++ b/control/leader.cc
@@ -249,7 +249,7 @@
     Measure("section_maintenance_us", out, [&] { maintenance_.Tick(now, out); });
   }
   if (pools_.IsDue(now)) {
-    Measure("section_pools_us", out, [&] { pools_.Tick(now, out); });
+    Measure("section_pools_us", out, [&] { pools_.Tick(now, wall, out); });
   }
   orders_.Tick(now, wall, out);
   PlanIfDue(now, wall, out);
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -45,7 +45,7 @@
   for (const auto& [vm, to] : draining_) vms.insert(vm);
 }
 
-void PoolScaler::Tick(Micros now, Outbox& out) {
+void PoolScaler::Tick(Micros now, WallMs wall, Outbox& out) {
   if (!IsDue(now)) return;
   next_tick_ = now + kTickPeriod;
   if (orders_.vms().empty()) return;
@@ -57,7 +57,7 @@
     }
   }
   FinishMoves(now);
-  TrackLongRunningWaits(now);
+  TrackLongRunningWaits(now, wall);
   std::vector<Pool> pools = DescribePools(now);
   std::map<std::string, int> pool_vms;
   for (const Pool& pool : pools) {
@@ -180,18 +180,23 @@
   return described;
 }
 
-void PoolScaler::TrackLongRunningWaits(Micros now) {
+void PoolScaler::TrackLongRunningWaits(Micros now, WallMs wall) {
   std::map<TaskId, Micros> waits;
-  for (const auto& [id, waiting] : state_.startable_long_running_jobs()) {
-    const Job& job = *waiting;
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-      const StepRun& run = job.At(0, step);
-      if (!job.spec.steps[step].long_running || run.assigned == run.tasks.size()) continue;
-      for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        if (run.tasks[index].phase != TaskPhase::kWaiting) continue;
-        const TaskId task{id, 0, step, index};
-        const auto known = long_running_waits_.find(task);
-        waits[task] = known == long_running_waits_.end() ? now : known->second;
+  const auto track_step = [&](const Job& job, std::uint32_t occurrence, std::uint32_t step) {
+    const StepRun& run = job.At(occurrence, step);
+    if (!job.spec.steps[step].long_running || run.assigned == run.tasks.size()) return;
+    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+      if (run.tasks[index].phase != TaskPhase::kWaiting) continue;
+      const TaskId task{job.id, occurrence, step, index};
+      const auto known = long_running_waits_.find(task);
+      waits[task] = known == long_running_waits_.end() ? now : known->second;
+    }
+  };
+  for (const auto& [id, job] : state_.startable_long_running_jobs()) {
+    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences(); ++occurrence) {
+      if (!IsOccurrenceDue(*job, occurrence, wall)) break;
+      for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
+        track_step(*job, occurrence, step);
       }
     }
   }
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -40,7 +40,7 @@
 
   void BeginTerm();
   /// Does nothing unless IsDue.
-  void Tick(Micros now, Outbox& out);
+  void Tick(Micros now, WallMs wall, Outbox& out);
   bool IsDue(Micros now) const { return now >= next_tick_; }
   /// Adds the VMs that must not get new tasks because the platform moves them, or was asked to.
   void AddCordonedVms(std::unordered_set<std::string_view>& vms) const;
@@ -69,7 +69,7 @@
   /// Cores that a service needs for its forecast load and its backlog.
   double NeededCores(const std::string& service, double open_core_ms, Micros now);
   /// Updates which long-running tasks wait for a worker, and since when.
-  void TrackLongRunningWaits(Micros now);
+  void TrackLongRunningWaits(Micros now, WallMs wall);
   /// Tasks, by service, that no worker has room for: long-running ones that have waited longer than
   /// a start takes, and unplaceable steps of the planner.
   std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -131,6 +131,22 @@
   CHECK(pool.Runs(kJob));
 }
 
+// Guards against later occurrences of a repeated job whose long-running tasks get no VMs.
+TEST_CASE("each occurrence of a repeated long-running job gets VMs") {
+  FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
+  jobs::JobCall call = MakeJob(kJob, {.count = 1,
+                                      .size = {.cpu = 8'000, .memory_mb = 110'000},
+                                      .estimate_ms = 600'000,
+                                      .long_running = true});
+  call.spec.repeat_count = 2;
+  call.spec.first_due_ms = pool.cluster.wall();
+  call.spec.interval_ms = kMaxWait / kMillisecond;
+  pool.Submit(call);
+  CHECK(pool.Runs(kJob));
+  pool.cluster.RunFor(2 * kMaxWait);
+  CHECK(pool.Assigned(kJob) == 2);
+}
+
 // Guards against a pool that takes VM after VM for a job that no VM can run.
 TEST_CASE("a job that no VM can run gets none") {
   FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
