Give a pool a single VM for an unplaceable step while VMs are scarce

Shortages of a tenth are tolerated while the pools need more VMs than exist; for a pool of ten VMs or more that is one VM, without which a job may fit nowhere. pool_plan_test failed before: no move, expected one.

--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -10,7 +10,8 @@
 namespace {
 
 /// If the pools together need more VMs than exist, a pool whose shortage is at most this share of
-/// its target gets none: a VM is unavailable during a move for longer than a task runs.
+/// its target gets none, unless tasks wait there that fit on none of its VMs: a VM is unavailable
+/// during a move for longer than a task runs.
 constexpr double kShortageTolerance = 0.1;
 
 class MovePlan {
@@ -54,12 +55,14 @@
   /// Returns the pool whose shortage is the largest share of its target; null if none is short.
   Pool* FindReceiver() {
     Pool* receiver = nullptr;
-    double largest_share = scarce_ ? kShortageTolerance : 0;
+    double largest_share = 0;
     for (Pool& pool : pools_) {
       const int shortage = Shortage(pool);
       if (shortage <= 0) continue;
       const double share = static_cast<double>(shortage) / targets_.at(pool.service);
-      if (share <= largest_share) continue;
+      const bool has_waiting = pool.vms < pool.vms_for_waiting;
+      const double tolerance = scarce_ && !has_waiting ? kShortageTolerance : 0;
+      if (share <= std::max(tolerance, largest_share)) continue;
       receiver = &pool;
       largest_share = share;
     }
--- a/tests/pool_plan_test.cc
+++ b/tests/pool_plan_test.cc
@@ -60,6 +60,14 @@
     CHECK(VmsForWaiting({{.count = 2, .size = task}, {.count = 1, .size = task}}, vm) == 1);
     CHECK(VmsForWaiting({{.count = 1, .size = task}}, {}) == 1);
   }
+  SECTION("also a single VM while the pools need more than exist") {
+    // Otherwise a job that fits on no worker waits for as long as the load lasts.
+    Pool waiting = MakePool("a", 12, 12 * 64);
+    waiting.vms_for_waiting = 13;
+    const auto moves = PlanMoves({waiting, MakePool("b", 14, 15 * 64)}, options, 0);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].to == "a");
+  }
   SECTION("VMs that no pool needs are switched off after a delay") {
     Pool off = MakePool("off", 0, 0);
     off.standby = true;
