--- a/control/leader.cc
+++ b/control/leader.cc
@@ -331,7 +331,8 @@
                                   .estimate_factor = factor,
                                   .wall_ms = wall,
                                   .now = now,
-                                  .max_starts = max_starts});
+                                  .max_starts = max_starts,
+                                  .knows_workers = fleet_.KnowsWorkers(now)});
   pace_.OnPlan(plan.full ? PlanEnd::kFull : PlanEnd::kComplete, now, out);
   // What did not fit into this plan comes with the next one, without a further event.
   if (plan.full) plan_due_ = true;
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -57,6 +57,8 @@
     }
   }
   FinishMoves(now);
+  // A new leader that has not heard from the workers yet would take them for lost.
+  if (!fleet_.KnowsWorkers(now)) return;
   TrackLongRunningWaits(now, wall);
   std::vector<Pool> pools = DescribePools(now);
   std::map<std::string, int> pool_vms;
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -29,6 +29,20 @@
 constexpr int kFailuresToBackOff = 2;
 constexpr Micros kFailureBackoff = 2 * kSecond;
 constexpr int kMaxBackoffDoublings = 3;
+/// A worker that has not answered this long after the start of a term is not expected to.
+constexpr Micros kFirstListsTime = 2 * kSecond;
+
+/// Returns how long the lease may last at most, by the leader's clock.
+Micros MaxLeaseDuration(std::int64_t lease_ms) {
+  return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
+}
+
+/// Whether the state has the task assigned to this worker in this run.
+bool IsCurrentRun(const State& state, const RecordEnd& end) {
+  const Task* task = state.FindTask(end.task);
+  return task != nullptr && task->phase == TaskPhase::kAssigned && task->run == end.run &&
+         task->worker == end.worker;
+}
 
 }  // namespace
 
@@ -37,6 +51,7 @@
   term_began_ = now;
   sent_orders_.clear();
   starts_in_flight_ = 0;
+  knows_workers_ = false;
   ClearViews();
   unbegun_jobs_.Clear();
   for (const auto& [id, worker] : state_.workers()) {
@@ -275,6 +290,15 @@
   return views->second.begin()->second->known;
 }
 
+bool WorkerFleet::KnowsWorkers(Micros now) {
+  if (knows_workers_) return true;
+  knows_workers_ =
+      now - term_began_ >= kFirstListsTime || std::ranges::all_of(views_, [](const auto& entry) {
+        return entry.second.lists_received || entry.second.expected_down;
+      });
+  return knows_workers_;
+}
+
 bool WorkerFleet::IsUsable(const WorkerId& worker, Micros now) const {
   const auto found = views_.find(worker);
   return found != views_.end() && IsUsable(found->second, now);
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -103,6 +103,9 @@
   const UnbegunJobs& unbegun_jobs() const { return unbegun_jobs_; }
   /// Number of start orders that have not been answered yet.
   std::size_t StartsInFlight() const { return starts_in_flight_; }
+  /// Whether this term is old enough, or all workers have answered, so that a worker that is not
+  /// usable probably stays so for a while.
+  bool KnowsWorkers(Micros now);
   /// Whether the worker sent a leave call or its VM was taken down, and it has not answered a
   /// RenewLeaseOrder sent since. Also true once another worker has replaced it.
   bool IsExpectedDown(const WorkerId& worker) const;
@@ -326,6 +329,7 @@
   std::uint64_t next_token_ = 1;
   std::map<std::uint64_t, SentOrder> sent_orders_;  // not answered yet, by token
   std::size_t starts_in_flight_ = 0;
+  bool knows_workers_ = false;          // see KnowsWorkers
   Micros renewals_since_ = 0;           // start of the present second of counting
   std::int64_t renewals_ = 0;           // sent since then
   std::int64_t renewals_a_second_ = 0;  // in the last complete second
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -503,7 +503,8 @@
 
 void PlanWalk::CheckPlaceable(const Candidate& candidate) {
   const Step& step = candidate.Spec();
-  if (step.long_running || unplaceable_.contains(*candidate.service)) return;
+  if (step.long_running || !input_.knows_workers) return;
+  if (unplaceable_.contains(*candidate.service)) return;
   ServiceRoom& room = *candidate.room;
   const auto suits = [&](const WorkerRoom& one) { return Suits(step, one.worker->record); };
   if (std::ranges::none_of(room.workers, suits)) return;  // more of the same kind would not help
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -39,6 +39,9 @@
   std::int64_t wall_ms = 0;     // Unix time
   Micros now = 0;               // monotonic time
   std::size_t max_starts = 64;  // limit for one plan
+  /// Whether workers that are not usable probably stay so for a while; if not, no step is named as
+  /// unplaceable.
+  bool knows_workers = true;
 };
 
 struct StartPlan {
--- a/tests/job_without_room_test.cc
+++ b/tests/job_without_room_test.cc
@@ -74,6 +74,15 @@
     REQUIRE(cluster.moved == 0);
   }
 
+  /// Starts the next leader's term while it cannot reach these workers.
+  void ChangeLeader(const std::set<jobs::WorkerId>& unreachable, Micros duration) {
+    for (const jobs::WorkerId& id : unreachable) cluster.CutWorker(id, duration);
+    const std::size_t former = *cluster.Leader();
+    cluster.Kill(former);
+    REQUIRE(cluster.RunUntilTrue([&] { return cluster.Leader().has_value(); }, 5 * kSecond));
+    cluster.Start(former);
+  }
+
   void Submit(jobs::JobCall call) {
     const jobs::Answer answer = cluster.CallAndWait(cluster.edge(0), std::move(call));
     REQUIRE(answer.code == AnswerCode::kOk);
@@ -120,6 +129,21 @@
   CHECK(pool.cluster.moved == 1);
 }
 
+// Guards against VMs that are moved because a new leader has not heard from the workers yet.
+TEST_CASE("a change of leader moves no VMs") {
+  FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
+  std::set<jobs::WorkerId> roomy;
+  for (std::size_t i = 0; i < kPoolVms; ++i) {
+    roomy.insert(pool.cluster.AddWorker("print", kVm).record().id);
+  }
+  pool.cluster.RunFor(kSecond);
+  REQUIRE(pool.cluster.moved == 0);
+  pool.ChangeLeader(roomy, 1'800 * kMillisecond);
+  pool.Submit(MakeJob(kJob, {.count = 2, .size = kTask, .estimate_ms = 640}));
+  CHECK(pool.Completes(kJob));
+  CHECK(pool.cluster.moved == 0);
+}
+
 // Guards against a pool that names no need for workers because none of its own can be used.
 TEST_CASE("a job whose pool has lost all workers gets VMs") {
   FullPool pool(GENERATE(1, 2, 3), {.cpu = 8'000, .memory_mb = 110'000});
