--- a/control/leader.cc
+++ b/control/leader.cc
@@ -271,6 +271,7 @@
   const std::uint64_t scanned = state_.scanned() - scanned_before_;
   scanned_before_ = state_.scanned();
   out.Count("records_scanned_total", static_cast<double>(scanned));
+  CompareRuns(out);
   // A warning in severity only: such lines have a quota of their own, so that routine ones do not
   // displace them when the leader is overloaded.
   Fields fields{{"open_jobs", std::to_string(state_.open_job_count())},
@@ -286,6 +287,18 @@
   out.Log("leader_load", std::move(fields), Severity::kWarning);
 }
 
+void Leader::CompareRuns(Outbox& out) {
+  for (const RunMismatch& mismatch : fleet_.CompareNextRuns()) {
+    out.Log("run_mismatch",
+            {{"task", FormatTask(mismatch.task)},
+             {"worker", mismatch.worker},
+             {"assigned_run", std::to_string(mismatch.assigned_run)},
+             {"known_run", std::to_string(mismatch.known_run)}},
+            Severity::kError);
+    out.Count("run_mismatches_total");
+  }
+}
+
 std::unordered_set<std::string_view> Leader::CordonedVms() const {
   std::unordered_set<std::string_view> vms;
   maintenance_.AddCordonedVms(vms);
--- a/control/leader.h
+++ b/control/leader.h
@@ -129,6 +129,8 @@
   void Plan(std::size_t max_starts, Micros now, WallMs wall, Outbox& out);
   /// Returns the VMs whose workers must not get tasks because of a move or maintenance.
   std::unordered_set<std::string_view> CordonedVms() const;
+  /// Logs the tasks for which the state and the leader's knowledge of the workers differ.
+  void CompareRuns(Outbox& out);
   /// Runs the section and reports its time.
   template <typename Section>
   void Measure(const char* metric, Outbox& out, const Section& section) const;
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -31,6 +31,8 @@
 constexpr int kMaxBackoffDoublings = 3;
 /// A worker that has not answered this long after the start of a term is not expected to.
 constexpr Micros kFirstListsTime = 2 * kSecond;
+/// Workers whose runs one call of CompareNextRuns compares.
+constexpr std::size_t kComparedWorkers = 64;
 
 /// Returns how long the lease may last at most, by the leader's clock.
 Micros MaxLeaseDuration(std::int64_t lease_ms) {
@@ -299,6 +301,37 @@
   return knows_workers_;
 }
 
+std::vector<RunMismatch> WorkerFleet::CompareNextRuns() {
+  std::vector<RunMismatch> mismatches;
+  auto next = views_.upper_bound(last_compared_);
+  for (std::size_t i = 0; i < kComparedWorkers && next != views_.end(); ++i, ++next) {
+    CompareRuns(next->first, next->second, mismatches);
+    last_compared_ = next->first;
+  }
+  if (next == views_.end()) last_compared_.clear();
+  return mismatches;
+}
+
+void WorkerFleet::CompareRuns(const WorkerId& worker, const WorkerView& view,
+                              std::vector<RunMismatch>& mismatches) const {
+  for (const TaskId& task : view.known->tasks) {
+    const std::uint32_t assigned = state_.FindTask(task)->run;
+    const auto run = view.runs.find(task);
+    const std::uint32_t known = run == view.runs.end() ? 0 : run->second.run;
+    if (known == assigned) continue;
+    mismatches.push_back(
+        {.worker = worker, .task = task, .assigned_run = assigned, .known_run = known});
+  }
+  for (const auto& [task, run] : view.runs) {
+    if (view.known->tasks.contains(task)) continue;
+    // The end of one task of a gang ends the others in the state before their workers list it.
+    const Job* job = state_.FindJob(task.job);
+    const bool has_step = job != nullptr && task.step < job->spec.steps.size();
+    if (has_step && job->spec.steps[task.step].gang) continue;
+    mismatches.push_back({.worker = worker, .task = task, .known_run = run.run});
+  }
+}
+
 bool WorkerFleet::IsUsable(const WorkerId& worker, Micros now) const {
   const auto found = views_.find(worker);
   return found != views_.end() && IsUsable(found->second, now);
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -36,6 +36,14 @@
 inline constexpr EnumNames<7> kWorkerObstacleNames = {
     "none", "draining", "expected_down", "silent", "unconfirmed", "backoff", "cordoned"};
 
+/// A task that the state has assigned to a worker in another run than the leader knows there.
+struct RunMismatch {
+  WorkerId worker;
+  TaskId task;
+  std::uint32_t assigned_run = 0;  // in the state; 0: not assigned to the worker
+  std::uint32_t known_run = 0;     // to the leader; 0: none
+};
+
 /// A worker of a service, usable or not.
 struct ObservedWorker {
   const Worker* worker = nullptr;
@@ -106,6 +114,9 @@
   /// Whether this term is old enough, or all workers have answered, so that a worker that is not
   /// usable probably stays so for a while.
   bool KnowsWorkers(Micros now);
+  /// Returns the differences between the runs that the state has on the next few workers and those
+  /// that the leader knows there. After some calls all workers have been compared.
+  std::vector<RunMismatch> CompareNextRuns();
   /// Whether the worker sent a leave call or its VM was taken down, and it has not answered a
   /// RenewLeaseOrder sent since. Also true once another worker has replaced it.
   bool IsExpectedDown(const WorkerId& worker) const;
@@ -302,6 +313,9 @@
   void SetBegun(const TaskId& task, Run& run);
   /// Whether the long-running task had worked for a while when the worker was last heard.
   bool HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const;
+  /// Appends the differences for one worker.
+  void CompareRuns(const WorkerId& worker, const WorkerView& view,
+                   std::vector<RunMismatch>& mismatches) const;
   void ConcludeAll(const WorkerId& worker, WorkerView& view, Conclusion conclusion, WallMs wall,
                    Outbox& out);
   void TickWorker(WorkerView& view, Micros now, WallMs wall, Outbox& out);
@@ -330,6 +344,7 @@
   std::map<std::uint64_t, SentOrder> sent_orders_;  // not answered yet, by token
   std::size_t starts_in_flight_ = 0;
   bool knows_workers_ = false;          // see KnowsWorkers
+  WorkerId last_compared_;              // see CompareNextRuns
   Micros renewals_since_ = 0;           // start of the present second of counting
   std::int64_t renewals_ = 0;           // sent since then
   std::int64_t renewals_a_second_ = 0;  // in the last complete second
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -272,7 +272,8 @@
     for (const auto& [key, value] : line->fields) {
       text.append(" ").append(key).append("=").append(value);
     }
-    if (line->event == "invariant_violated") AddViolation(text);
+    const bool is_fault = line->event == "invariant_violated" || line->event == "run_mismatch";
+    if (is_fault) AddViolation(text);
     log_.push_back(std::move(text));
     if (log_.size() > kMaxLogLines) log_.pop_front();
   }
