Plan in larger batches, and count unheard workers as present

Plans have up to 512 starts now, and 40 ms pass between two while starts are not durable. Moves that found no free order were planned anew every 20 ms at the cost of all VMs for each; they are sorted once now. VMs that are to be moved keep no plan from skipping steps any more. A worker is not closed after four unanswered starts: while the leader is busy all are.

A new leader no longer waits for 2 s before it moves VMs; it counts the workers that it has not heard from as present.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -24,7 +24,10 @@
 /// queue in this node until their deadlines pass.
 constexpr std::size_t kMaxStartsOutstanding = 2'048;
 /// Most starts of one plan, which delays other events meanwhile.
-constexpr std::size_t kMaxStartsPerPlan = 128;
+constexpr std::size_t kMaxStartsPerPlan = 512;
+/// Time from a plan to the next one while its starts are not durable. Each plan costs a batch of
+/// the log, so many small ones would take the processor from other events.
+constexpr Micros kUnappliedPlanPause = 40 * kMillisecond;
 /// Least time between examinations of the workers that events concern, so that the events of one
 /// worker share an examination.
 constexpr Micros kFleetTickPeriod = 10 * kMillisecond;
@@ -310,6 +313,7 @@
   const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
   if (!due || now < next_plan_) return;
   const std::size_t unapplied = planner_.unapplied().size();
+  if (unapplied > 0 && now < next_plan_ - PlanPause(state_) + kUnappliedPlanPause) return;
   const std::size_t outstanding = unapplied + fleet_.StartsInFlight();
   if (outstanding >= kMaxStartsOutstanding) {
     const bool slow_disks = unapplied > fleet_.StartsInFlight();
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -8,10 +8,11 @@
 
 constexpr Micros kTickPeriod = 100 * kMillisecond;
 /// Period while more moves are planned than the platform took.
-constexpr Micros kShortTickPeriod = 20 * kMillisecond;
+constexpr Micros kShortTickPeriod = 40 * kMillisecond;
 /// One in this many VMs of a pool may be withheld at once by moves that the platform has not
-/// answered; kMinUnansweredMoves VMs in any case.
-constexpr int kUnansweredShare = 4;
+/// answered, so that the others are well used before a job waits; kMinUnansweredMoves VMs in any
+/// case.
+constexpr int kUnansweredShare = 2;
 constexpr int kMinUnansweredMoves = 2;
 /// Fraction of a pool's cores that expected work may use. The remainder absorbs bursts and steps
 /// with many tasks.
@@ -57,18 +58,16 @@
     }
   }
   FinishMoves(now);
-  // A new leader that has not heard from the workers yet would take them for lost.
-  if (!fleet_.KnowsWorkers(now)) return;
-  TrackLongRunningWaits(now, wall);
+  if (fleet_.KnowsWorkers(now)) TrackLongRunningWaits(now, wall);
   std::vector<Pool> pools = DescribePools(now);
   std::map<std::string, int> pool_vms;
   for (const Pool& pool : pools) {
     if (!pool.standby) pool_vms[pool.service] = pool.vms;
   }
   const std::vector<PoolMove> moves = PlanMoves(std::move(pools), options_.plan, now);
-  // A VM whose move is no longer planned gets tasks again. So do all while the platform moves none.
+  // A VM whose move is no longer planned gets tasks again. So do all if the platform has no time.
   draining_.clear();
-  if (orders_.IsResponsive(now)) Execute(moves, pool_vms, now, out);
+  if (orders_.HasTime(now)) Execute(moves, pool_vms, now, out);
 }
 
 void PoolScaler::Execute(const std::vector<PoolMove>& moves,
@@ -86,6 +85,7 @@
         vms != pool_vms.end() &&
         from_pool >= std::max(kMinUnansweredMoves, vms->second / kUnansweredShare);
     if (slots == 0 || too_many) {
+      draining_[move.vm] = move.to;
       next_tick_ = now + kShortTickPeriod;
       continue;
     }
@@ -159,6 +159,7 @@
     pools[service.name] = {.service = service.name, .standby = service.standby};
   }
   AddWorkers(pools, now);
+  AddUnheardWorkers(pools, now);
   AddWaitingNeeds(pools, now);
   AddStandby(pools);
   for (const auto& [vm, moving] : moving_) {
@@ -267,6 +268,24 @@
   }
 }
 
+void PoolScaler::AddUnheardWorkers(std::map<std::string, Pool>& pools, Micros now) const {
+  if (fleet_.KnowsWorkers(now)) return;
+  for (auto& [name, pool] : pools) {
+    for (const ObservedWorker& one : fleet_.WorkersOf(name, now)) {
+      const WorkerRecord& record = one.worker->record;
+      const bool unheard =
+          one.obstacle == WorkerObstacle::kUnconfirmed || one.obstacle == WorkerObstacle::kSilent;
+      if (!unheard || record.vm.empty() || moving_.contains(record.vm)) continue;
+      ++pool.vms;
+      pool.vm_cores =
+          std::max(pool.vm_cores, static_cast<double>(record.capacity.cpu) / kMillicores);
+      pool.needed_cores += static_cast<double>(one.worker->long_running_used.cpu) / kMillicores;
+      // Which of the others can be spared is not known yet.
+      pool.movable.clear();
+    }
+  }
+}
+
 void PoolScaler::AddStandby(std::map<std::string, Pool>& pools) const {
   for (const auto& [vm, name] : standby_vms_) {
     const auto pool = pools.find(name);
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -65,6 +65,8 @@
 
   std::vector<Pool> DescribePools(Micros now);
   void AddWorkers(std::map<std::string, Pool>& pools, Micros now) const;
+  /// Counts the workers that a new leader has not heard from yet: they are probably there.
+  void AddUnheardWorkers(std::map<std::string, Pool>& pools, Micros now) const;
   void AddStandby(std::map<std::string, Pool>& pools) const;
   /// Cores that a service needs for its forecast load and its backlog.
   double NeededCores(const std::string& service, double open_core_ms, Micros now);
--- a/control/vm_orders.cc
+++ b/control/vm_orders.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr Micros kOrderRetry = 500 * kMillisecond;
-/// The platform is not responsive while a call waits longer than this for its answer.
-constexpr Micros kSlowAnswer = 500 * kMillisecond;
 /// Orders may be sent together that the platform accepts within this time.
 constexpr double kBurstSeconds = 0.25;
 constexpr Micros kListRetry = kSecond;
@@ -98,14 +96,6 @@
   due_.emplace(0, vm);
 }
 
-bool VmOrders::IsResponsive(Micros now) const {
-  if (now < busy_until_) return false;
-  return std::ranges::none_of(orders_, [&](const auto& entry) {
-    const PendingOrder& order = entry.second;
-    return order.may_be_done || (order.token != 0 && now - order.sent_at > kSlowAnswer);
-  });
-}
-
 std::uint64_t VmOrders::Send(const VmId& vm, VmOrder order, Micros now, Outbox& out) {
   const std::uint64_t token = next_token_++;
   sent_[token] = vm;
@@ -148,7 +138,6 @@
     pending.recorded = false;
     pending.record_proposed = false;
     ++pending.sends;
-    pending.sent_at = now;
     pending.token = Send(vm, pending.order, now, out);
   } else if (!pending.record_proposed) {
     if (!TakeSlot(now)) {
--- a/control/vm_orders.h
+++ b/control/vm_orders.h
@@ -59,9 +59,9 @@
   std::size_t FreeSlots() const {
     return kMaxVmOrdersInProgress - std::min(kMaxVmOrdersInProgress, orders_.size());
   }
-  /// Whether the platform carries out orders: it has refused none for lack of time just before, and
-  /// no call has been waiting long for its answer.
-  bool IsResponsive(Micros now) const;
+  /// Whether the platform has time for orders: it has not refused one for lack of time, and no
+  /// connection to it has failed, just before.
+  bool HasTime(Micros now) const { return now >= busy_until_; }
   /// Queues an order for a VM. Throws StateError if the VM has an unfinished order.
   void Order(const VmId& vm, VmOrder order, Done done);
   /// The list of VMs in this term; empty until a list with VMs has arrived.
@@ -78,7 +78,6 @@
     bool recorded = false;     // the record is applied: the next call may be sent
     int sends = 0;             // calls sent
     Micros ordered = 0;        // time at which Order was called
-    Micros sent_at = 0;        // of the last call
     bool may_be_done = false;  // an earlier call may have been carried out
     std::uint64_t token = 0;   // of the call in flight; 0: none
   };
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -31,6 +31,8 @@
 constexpr int kMaxBackoffDoublings = 3;
 /// A worker that has not answered this long after the start of a term is not expected to.
 constexpr Micros kFirstListsTime = 2 * kSecond;
+/// Fraction of the workers of which a new leader knows enough before that.
+constexpr double kMostWorkers = 0.9;
 /// Workers whose runs one call of CompareNextRuns compares.
 constexpr std::size_t kComparedWorkers = 64;
 
@@ -294,10 +296,12 @@
 
 bool WorkerFleet::KnowsWorkers(Micros now) {
   if (knows_workers_) return true;
-  knows_workers_ =
-      now - term_began_ >= kFirstListsTime || std::ranges::all_of(views_, [](const auto& entry) {
-        return entry.second.lists_received || entry.second.expected_down;
-      });
+  const auto known = std::ranges::count_if(views_, [](const auto& entry) {
+    return entry.second.lists_received || entry.second.expected_down;
+  });
+  const double enough = kMostWorkers * static_cast<double>(views_.size());
+  const bool knows_most = static_cast<double>(known) >= enough;
+  knows_workers_ = knows_most || now - term_began_ >= kFirstListsTime;
   return knows_workers_;
 }
 
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -111,8 +111,8 @@
   const UnbegunJobs& unbegun_jobs() const { return unbegun_jobs_; }
   /// Number of start orders that have not been answered yet.
   std::size_t StartsInFlight() const { return starts_in_flight_; }
-  /// Whether this term is old enough, or all workers have answered, so that a worker that is not
-  /// usable probably stays so for a while.
+  /// Whether this term is old enough, or most workers have answered, so that a worker that is not
+  /// usable probably stays so for a while. Stays true for the term.
   bool KnowsWorkers(Micros now);
   /// Returns the differences between the runs that the state has on the next few workers and those
   /// that the leader knows there. After some calls all workers have been compared.
@@ -196,15 +196,15 @@
     bool suspect = false;               // the last order was not sent or not answered
     bool confirmed = false;             // run lists arrived since the incarnation was last in doubt
     bool renewal_in_flight = false;
-    std::size_t unanswered_starts = 0;  // start orders without an answer yet
-    bool touched = false;               // listed in `touched_`
-    Micros next_renewal_at = 0;         // earliest time of the next lease renewal
+    bool touched = false;              // listed in `touched_`
+    bool recently_successful = false;  // its last run that ended as done or failed was done
+    Micros next_renewal_at = 0;        // earliest time of the next lease renewal
     Micros renewal_sent_at = 0;
     Micros last_heard = 0;
-    Micros backoff_until = 0;          // the worker gets no new tasks before this time
-    int consecutive_failures = 0;      // runs that failed since the last one that ended as done
-    bool recently_successful = false;  // its last run that ended as done or failed was done
-    std::uint64_t proposed_ends = 0;   // the ends up to this number were proposed for the log
+    Micros backoff_until = 0;             // the worker gets no new tasks before this time
+    int consecutive_failures = 0;         // runs that failed since the last one that ended as done
+    std::uint32_t unanswered_starts = 0;  // start orders without an answer yet
+    std::uint64_t proposed_ends = 0;      // the ends up to this number were proposed for the log
     /// The worker has answered a renewal that acknowledged its ends up to this number.
     std::uint64_t acknowledgement_delivered = 0;
     /// Connection on which this incarnation sent its run lists; 0: none that is known to be open.
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -17,8 +17,9 @@
 /// Steps of one service whose room is not compared anew and that are checked nevertheless for
 /// whether they are unplaceable.
 constexpr int kMaxPlaceableChecks = 8;
-/// A worker gets no more tasks while this many starts wait for its answer: it may be about to fail.
-constexpr std::size_t kMaxUnansweredStarts = 4;
+/// A worker gets no more tasks while this many starts wait for its answer, as many as it has
+/// channels.
+constexpr std::size_t kMaxUnansweredStarts = 64;
 /// A suspect starts beside other tasks if no worker has become empty for this long after its latest
 /// loss: a job must not be idle for 3 s beside free room.
 constexpr std::int64_t kAloneWaitMs = 2'000;
@@ -248,7 +249,7 @@
     const WorkerId& id = worker.record.id;
     const UnappliedLoad load = unapplied_.LoadOf(id);
     const bool in_trial = isolation_.trials.contains(id);
-    const bool is_kept = kept != isolation_.kept.end() && kept->second.worker == id;
+    const bool is_kept = !one.leaving && kept != isolation_.kept.end() && kept->second.worker == id;
     if (is_kept) room.has_kept = true;
     const bool unanswered = one.unanswered_starts >= kMaxUnansweredStarts;
     const Resources taken = worker.used + load.used;
@@ -335,7 +336,9 @@
   // A task that one worker has crashed under, beside others, is probably innocent: it does not
   // wait.
   const bool probably_innocent = task.crashes.size() == 1 && task.crashes_alone.empty();
-  const bool may_wait = !probably_innocent && input_.wall_ms < task.lost_ms + kAloneWaitMs;
+  // The time of day may have been set back since the loss.
+  const std::int64_t waited_ms = input_.wall_ms - task.lost_ms;
+  const bool may_wait = !probably_innocent && waited_ms >= 0 && waited_ms < kAloneWaitMs;
   return may_wait && any_suited(EmptiesItself);
 }
 
@@ -417,10 +420,11 @@
 bool PlanWalk::IsOpenFor(const Candidate& candidate, const WorkerRoom& room) {
   if (room.closed) return room.kept && candidate.waited_ms >= kKeepForOverdueMs;
   if (!room.leaving) return true;
-  // The move can wait, or take another VM. While the service is well used, its jobs wait for
-  // others to end, so that VMs get free for the move.
+  // The move can wait, or take another VM. While the service is well used, its jobs wait for others
+  // to end, so that VMs get free for moves.
+  if (candidate.Spec().long_running) return true;
   return candidate.room->low_use && candidate.job->assigned == 0 &&
-         (candidate.Spec().long_running || candidate.waited_ms >= kLeavingWaitMs);
+         candidate.waited_ms >= kLeavingWaitMs;
 }
 
 WorkerRoom* PlanWalk::ChooseWorker(const Candidate& candidate,
@@ -429,16 +433,19 @@
   const Step& step = candidate.Spec();
   ServiceRoom& service = *candidate.room;
   const Resources footprint = step.footprint();
-  if (service.smallest_unplaced && service.smallest_unplaced->FitsInto(footprint)) return nullptr;
+  const bool may_use_kept = service.has_kept && candidate.waited_ms >= kKeepForOverdueMs;
+  const bool skips =
+      service.smallest_unplaced && service.smallest_unplaced->FitsInto(footprint) && !may_use_kept;
+  if (skips) return nullptr;
   scanned_ = true;
   WorkerRoom* best = nullptr;
   std::tuple<bool, bool, bool, bool, std::int64_t> best_score;
-  bool has_restricted_room = false;  // on a worker that other candidates may use
+  bool leaving_has_room = false;
   for (WorkerRoom& room : service.workers) {
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.free) || !Suits(step, record)) continue;
     if (!IsOpenFor(candidate, room)) {
-      has_restricted_room = has_restricted_room || room.kept || room.leaving;
+      leaving_has_room = leaving_has_room || (room.leaving && !room.closed && service.low_use);
       continue;
     }
     if (step.max_per_worker > 0) {
@@ -454,7 +461,7 @@
     best = &room;
     best_score = score;
   }
-  const bool fits_nowhere = best == nullptr && !has_restricted_room && IsUnrestricted(step);
+  const bool fits_nowhere = best == nullptr && !leaving_has_room && IsUnrestricted(step);
   if (fits_nowhere) service.smallest_unplaced = footprint;
   return best;
 }
@@ -475,7 +482,8 @@
   // The tasks of a gang need room at the same time.
   std::size_t unplaced = step.gang ? candidate.Run().tasks.size() : 1;
   for (const WorkerRoom& room : candidate.room->workers) {
-    if (!Suits(step, room.worker->record)) continue;
+    const bool is_open = candidate.room->low_use || !room.leaving;
+    if (!is_open || !Suits(step, room.worker->record)) continue;
     Resources free = room.worker->record.capacity - room.long_running_used;
     std::size_t most = step.max_per_worker > 0 ? step.max_per_worker : unplaced;
     for (; unplaced > 0 && most > 0 && step.footprint().FitsInto(free); --most) {
@@ -494,7 +502,8 @@
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     if (tasks[index].phase != TaskPhase::kWaiting) continue;
     if (unapplied_.Contains(candidate.Task(index))) continue;
-    if (!WithinLimit(usage, candidate.Spec().size)) break;
+    // A gang starts as a whole or not at all.
+    if (!WithinLimit(usage, candidate.Spec().size)) return candidate.Spec().gang ? 0 : count;
     usage.used += candidate.Spec().size;
     ++count;
   }
@@ -510,7 +519,8 @@
   if (std::ranges::none_of(room.workers, suits)) return;  // more of the same kind would not help
   if (FitsBesideLongRunning(candidate)) {
     // With most of the room free, it is the short tasks that lie badly, and others may follow them.
-    const bool broken_up = room.low_use && candidate.job->assigned == 0;
+    const bool broken_up = room.low_use && candidate.job->assigned == 0 &&
+                           step.required_label.empty() && candidate.waited_ms >= kLeavingWaitMs;
     if (!broken_up) {
       const Resources footprint = step.footprint();
       const bool larger = !room.largest_placeable || room.largest_placeable->FitsInto(footprint);
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -26,8 +26,8 @@
   const Worker* worker = nullptr;
   bool recently_successful = false;  // its latest run that ended on its own ended as done
   std::size_t unanswered_starts = 0;
-  /// Its VM is to be moved to another pool once it has no tasks. It gets tasks only if they would
-  /// have to wait otherwise while most of the service's room is free.
+  /// Its VM is to be moved to another pool once it has no tasks and the platform takes the move. It
+  /// gets long-running tasks, and others that would wait while most of the service's room is free.
   bool leaving = false;
 };
 
@@ -60,7 +60,7 @@
   JobId job = 0;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
-  std::uint32_t tasks = 0;  // waiting ones that the limit of the team allows
+  std::uint32_t tasks = 0;  // waiting ones that the limit of the team lets start together
   Micros since = 0;         // since when plans have found unplaceable steps of the service
   Micros seen = 0;          // time of the latest plan that found this one
 
--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -21,6 +22,7 @@
 
   std::vector<PoolMove> Make() {
     SetTargets();
+    for (Pool& pool : pools_) SortMovable(pool);
     while (Pool* receiver = FindReceiver()) {
       Pool* donor = FindDonor(*receiver);
       if (donor == nullptr) break;
@@ -81,13 +83,18 @@
     return best;
   }
 
-  void Move(Pool& from, Pool& to) {
+  /// Sorts the VMs so that the next one to move is the last one.
+  static void SortMovable(Pool& pool) {
     // Prefers VMs that are already draining: otherwise the choice would change from plan to plan.
-    const auto vm = std::ranges::min_element(from.movable, {}, [](const PoolVm& one) {
-      return std::tuple(one.tasks > 0, !one.draining, one.tasks, one.vm);
+    std::ranges::sort(pool.movable, std::greater(), [](const PoolVm& one) {
+      return std::tuple<bool, bool, std::size_t, const VmId&>(one.tasks > 0, !one.draining,
+                                                              one.tasks, one.vm);
     });
-    moves_.push_back({.vm = vm->vm, .from = from.service, .to = to.service});
-    from.movable.erase(vm);
+  }
+
+  void Move(Pool& from, Pool& to) {
+    moves_.push_back({.vm = from.movable.back().vm, .from = from.service, .to = to.service});
+    from.movable.pop_back();
     --from.vms;
     ++to.vms;
   }
