--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A work item whose worker crashes three times: its job is shown as failed, though no run failed."""
+"""A manifest replaces a route by one with another name at the same host and prefix."""
 
 import asyncio
 import os
@@ -8,54 +8,47 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import fleet_lab as lab_module  # noqa: E402
 
-HOST, PREFIX, SERVICE = "pule25.example", "/puxa400/", "huvo11a"
-MACHINES = 8
-CRASHES = 3
-DOWN_S = 2.0        # srv_crash: one of eight workers; the site file has up to 7.1 s
-WORK_BEFORE_CRASH_S = 1.0
-WORK_MS = 12000
-ATTEMPTS = 3
+HOST, PREFIX, SERVICE = "pule25.example", "/tije37/", "lovo22d"
+BOUNDS = lab_module.BOUNDS
 
 
 async def scenario(lab, trouble):
-    services = lab_module.manifest(
-        1, [lab_module.route("r-iikdrbn", PREFIX, SERVICE, attempts=ATTEMPTS)],
-        [lab_module.service(SERVICE)])
-    await lab.start([(SERVICE, 64000)] * MACHINES, services)
+    def manifest(version, name, timeout_ms):
+        return lab_module.manifest(
+            version, [lab_module.route(name, PREFIX, SERVICE, timeout_ms=timeout_ms)],
+            [lab_module.service(SERVICE)])
+
+    await lab.start([(SERVICE, 64000)] * 8, manifest(1, "r-35ieisp", 3000))
     job = lab_module.new_job_id()
-    task = f"{job}.0.0.0"
-    steps = [{"count": 1, "cpu": 3500, "mem_mb": 5100, "estimate_ms": WORK_MS}]
-    await lab.submit(HOST, PREFIX, job, steps)
-    returns = []
-    for _ in range(CRASHES):
-        if not await lab.until(lambda: lab.machine_of(task) is not None, 25):
-            break
-        await asyncio.sleep(WORK_BEFORE_CRASH_S)
-        machine = lab.machine_of(task)
-        if trouble and machine is not None:
-            returns.append(asyncio.create_task(machine.crash_for(DOWN_S)))
-            await asyncio.sleep(0.2)
-        else:
-            await asyncio.sleep(DOWN_S)
-    if returns:
-        await asyncio.wait(returns)
-    # All workers are up again and stay so. The job needs 12 s of work; it is looked at for 40 s.
-    state = None
-    for _ in range(40):
-        _, state = await lab.state(HOST, PREFIX, job)
-        if state in ("failed", "completed", "cancelled"):
-            break
-        await asyncio.sleep(1)
-    failed_runs = [run for run in lab.runs if run["how"] == "failed"]
-    lab.note("result", state=state, runs=len(lab.runs), failed_ends=len(failed_runs))
-    if state == "failed" and len(failed_runs) < ATTEMPTS:
-        return [f"LOST: the job is shown as failed after {len(failed_runs)} ends 'failed' of "
-                f"{ATTEMPTS} attempts; {len(lab.runs)} runs, all ended by crashes of workers"]
-    if state == "cancelled":
-        return ["LOST: the job is shown as cancelled, and nobody cancelled it"]
-    if state != "completed":
-        raise lab_module.CannotRun(f"the job is {state} at the end")
-    return []
+    steps = [{"count": 5, "cpu": 5300, "mem_mb": 17000, "estimate_ms": 700, "long_running": True,
+              "may_miss": 1}]
+    accepted = await lab.submit(HOST, PREFIX, job, steps)
+
+    def running():
+        return [entry for entry in lab.open_runs.values() if entry["task"].startswith(job)]
+
+    if not await lab.until(lambda: len(running()) == 5, 20):
+        raise lab_module.CannotRun("the job's work items didn't start")
+    await asyncio.sleep(max(0, accepted + BOUNDS["visible_ms"] / 1000 - lab.now()) + 1)
+    # Version 2 removes the route and adds one at its place; without the trouble it changes the
+    # time-out only.
+    await lab.put_config(manifest(2, "r-9dk2m4q" if trouble else "r-35ieisp", 3500))
+    await asyncio.sleep(BOUNDS["config_apply_ms"] / 1000 + BOUNDS["contact_ms"] / 1000)
+    breaks = []
+    status, state = await lab.state(HOST, PREFIX, job)
+    if status == 410:
+        breaks.append(f"LOST: GET of the accepted job, which nobody cancelled, is answered 410; "
+                      f"{len(running())} of its work items run")
+    elif state != "running":
+        raise lab_module.CannotRun(f"GET is answered {status} {state}")
+    status, _ = await lab.client("DELETE", HOST, PREFIX + job)
+    if not (200 <= status < 300 or status == 410):
+        raise lab_module.CannotRun(f"the cancel is answered {status}")
+    await asyncio.sleep((BOUNDS["cancel_ms"] + BOUNDS["stop_ms"]) / 1000 + 5)
+    if running():
+        breaks.append(f"UNASKED: {len(running())} work items run on 5 s after the bound; the "
+                      f"cancel was answered {status}")
+    return breaks
 
 
 if __name__ == "__main__":
