--- a/review/standins-2/fleet_lab.py
+++ b/review/standins-2/fleet_lab.py
@@ -112,13 +112,16 @@
 
 
 async def call(address, method, path, body=None, headers=None, timeout=3.0):
-    """Sends one request on a channel of its own. Returns (status, headers, body text)."""
+    """Sends one request on a channel of its own; a body of bytes is sent as it is. Returns (status,
+    headers, body text)."""
     host, port = address.rsplit(":", 1)
 
     async def exchange():
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            data = b"" if body is None else json.dumps(body).encode()
+            data = b"" if body is None else body
+            if not isinstance(data, bytes):
+                data = json.dumps(body).encode()
             fields = {"Host": address, "Content-Type": "application/json",
                       "Content-Length": str(len(data)), "Connection": "close"}
             fields.update(headers or {})
