--- a/review/7/case.py
+++ b/review/7/case.py
@@ -52,4 +52,5 @@
 
 
 if __name__ == "__main__":
-    lab_module.run_case(scenario, os.path.join(HERE, "record.txt"))
+    lab_module.run_case(scenario, os.path.join(HERE, "record.txt"),
+                        trouble="--without-trouble" not in sys.argv)
--- a/review/standins-2/fleet_lab.py
+++ b/review/standins-2/fleet_lab.py
@@ -803,10 +803,10 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(scenario, record, **options):
+def run_case(scenario, record, trouble=True, **options):
     """Runs `scenario(lab, trouble)`, which returns a list of the breaks that it saw."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     lab = Lab(record, **options)
+    lab.note("case", trouble=trouble)
 
     async def play():
         try:
