Separate the events that both halves have in common from Node

That job control and the request service are two halves that share the log, the messages and these structs, and nothing else, was told by the docs only. Change: node/common_events.h has the events and effects in common; control/ includes that, so that a use of Node there does not compile. No behaviour changes. Ruled out: a package of its own for the messages; node/messages.h names types of both halves.

--- a/control/events.h
+++ b/control/events.h
@@ -9,7 +9,7 @@
 
 #include "jobs/calls.h"
 #include "jobs/orders.h"
-#include "node/node.h"
+#include "node/common_events.h"
 
 /// Input events and output effects of the deterministic nodes in this package.
 namespace godwitpaddle::jobs {
--- a/node/node.h
+++ b/node/node.h
@@ -13,7 +13,7 @@
 #include "base/enum_names.h"
 #include "base/time.h"
 #include "decision/fleet_state.h"
-#include "node/messages.h"
+#include "node/common_events.h"
 #include "replication/replica.h"
 
 namespace godwitpaddle {
@@ -37,19 +37,6 @@
 
 // ---- events ----
 
-/// Time has passed. The driver sends it at least once per kTickPeriod.
-struct TickEvent {};
-
-/// A message from another node arrived.
-struct PeerEvent {
-  PeerMessage message;
-};
-
-/// The batch of the PersistEffect with this token is durable.
-struct SyncedEvent {
-  std::uint64_t token = 0;
-};
-
 /// A complete HTTP request arrived. Header names are in lower case. The path excludes the query.
 struct HttpEvent {
   std::uint64_t connection = 0;  // unique per request
@@ -60,11 +47,6 @@
   std::string body;
 };
 
-/// The caller closed the connection before the answer.
-struct HttpClosedEvent {
-  std::uint64_t connection = 0;
-};
-
 enum class TransferEnd : std::uint8_t {
   kAnswered,  // a complete HTTP response arrived
   kNotSent,   // no connection could be established, so nothing was sent
@@ -92,25 +74,11 @@
   std::string error;
 };
 
-/// The process received SIGTERM: the node drains and then emits an ExitEffect.
-struct ShutdownEvent {};
-
 using Event = std::variant<TickEvent, PeerEvent, SyncedEvent, HttpEvent, HttpClosedEvent, TaskEvent,
                            PlatformEvent, ShutdownEvent>;
 
 // ---- effects ----
 
-/// Send a message to another node. Delivery is not guaranteed.
-struct SendEffect {
-  std::string address;
-  PeerMessage message;
-};
-
-/// Write a batch to the disk; a SyncedEvent with its token follows.
-struct PersistEffect {
-  replication::PersistBatch batch;
-};
-
 /// Answer the HTTP request of this connection.
 struct RespondEffect {
   std::uint64_t connection = 0;
@@ -142,27 +110,6 @@
   PlatformCall call;
 };
 
-enum class Severity : std::uint8_t { kInfo, kWarning, kError };
-
-/// One log line "event=NAME key=value ...".
-struct LogEffect {
-  Severity severity = Severity::kInfo;
-  std::string event;
-  std::vector<std::pair<std::string, std::string>> fields;
-};
-
-/// One sample for a histogram or counter, by name.
-struct MetricEffect {
-  std::string name;
-  double value = 1;
-};
-
-/// Exit the process: status 0 after a graceful shutdown, else `reason` is an error.
-struct ExitEffect {
-  int status = 0;
-  std::string reason;
-};
-
 using Effect = std::variant<SendEffect, PersistEffect, RespondEffect, StartTaskEffect,
                             OrderTaskEffect, PlatformEffect, LogEffect, MetricEffect, ExitEffect>;
 
@@ -172,8 +119,6 @@
   using std::logic_error::logic_error;
 };
 
-inline constexpr Micros kTickPeriod = 20 * kMillisecond;
-
 /// One entry VM as a deterministic state machine: the same options, stored state and events give
 /// the same effects.
 class Node {
