Identify a queue by its host and prefix, not by its name

After two queues exchanged their names, the job was found at the other prefix, and after a crash of a worker its tasks started on the other queue's service (ROUTE). Cause: the state kept a job's queue as its name at the acceptance. No call carries that name. Calls, the repeated POST, the pending count, the planner, the wait report and the pool scaler looked it up there; open work and run times counted for the service of the acceptance. Ruled out: node/ and decision/, where the URL names the queue. Change: KnownQueues keeps each queue that has jobs, by host and prefix, as the newest configuration that has it describes it, also after its removal; a job refers to it by a number. A Submit says host and prefix beside the name.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -146,7 +146,7 @@
   const auto* submit = std::get_if<Submit>(&applied.command);
   if (submit == nullptr || applied.replayed) return;
   const Job* job = state_.FindJob(submit->job);
-  if (job != nullptr) demand_.OnAccepted(job->service, job->spec, now);
+  if (job != nullptr) demand_.OnAccepted(State::QueueOf(*job).service, job->spec, now);
 }
 
 void Leader::OnApplied(const AppliedCommand& applied, Micros now, WallMs wall, Outbox& out) {
@@ -191,17 +191,20 @@
   const Job* job = state_.FindJob(end.task.job);
   const auto time = fleet_.RunTime(end.worker, end.task, end.run, now);
   if (job == nullptr || !time || end.task.step >= job->spec.steps.size()) return;
-  demand_.OnRunDone(job->service, job->spec.steps[end.task.step].estimate_ms, *time / kMillisecond);
+  const Worker* worker = state_.FindWorker(end.worker);
+  if (worker == nullptr) return;
+  // The queue may have another service by now than when the run started.
+  demand_.OnRunDone(worker->record.service, job->spec.steps[end.task.step].estimate_ms,
+                    *time / kMillisecond);
 }
 
 std::int64_t Leader::ExpectedObjectiveMs(const Job& job) const {
-  const Queue* queue = FindQueueByName(state_.configuration(), job.queue);
-  return ObjectiveMs(job, queue, demand_.EstimateFactor(job.service));
+  return ObjectiveMs(job, demand_.EstimateFactor(State::QueueOf(job).service));
 }
 
 void Leader::LogEnd(const Job& job, const Command& command, Outbox& out) const {
   Fields fields{{"job", FormatJob(job.id)},
-                {"queue", job.queue},
+                {"queue", State::QueueOf(job).name},
                 {"phase", std::string(NameOf(kJobPhaseNames, job.phase))},
                 {"took_ms", std::to_string(job.ended_ms - job.accepted_ms)},
                 {"objective_ms", std::to_string(ExpectedObjectiveMs(job))}};
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -65,7 +65,7 @@
   }
   if (call.kind == JobCallKind::kSubmit) return OnSubmit(call, *queue, *job, request, wall, out);
   const Job* known = job ? state_.FindJob(*job) : nullptr;
-  if (known == nullptr || known->queue != queue->name) {
+  if (known == nullptr || !State::IsJobOf(*known, *queue)) {
     return refuse(MakeRefusal(AnswerCode::kNoSuchJob, "no such job"));
   }
   if (call.kind == JobCallKind::kQuery) return Reply(RequesterOf(request), PhaseOf(*known), out);
@@ -80,7 +80,7 @@
   const auto refuse = [&](std::string reason) {
     Refuse(call, request, MakeRefusal(AnswerCode::kInvalid, std::move(reason)), out);
   };
-  if (known != nullptr && known->queue != queue.name) {
+  if (known != nullptr && !State::IsJobOf(*known, queue)) {
     return refuse("the id names a job of another queue");
   }
   if (known != nullptr) return Reply(RequesterOf(request), {}, out);
@@ -101,9 +101,14 @@
                            {"open_jobs", std::to_string(state_.open_job_count())},
                            {"steps", FormatSteps(call.spec.steps)}});
   unapplied_submits_.insert(job);
-  ProposeFor(
-      Submit{.job = job, .queue = queue.name, .key = call.key, .wall_ms = wall, .spec = call.spec},
-      request);
+  ProposeFor(Submit{.job = job,
+                    .queue = queue.name,
+                    .key = call.key,
+                    .wall_ms = wall,
+                    .spec = call.spec,
+                    .host = queue.host,
+                    .prefix = queue.prefix},
+             request);
 }
 
 bool Leader::MayRefuse(JobId job) const {
@@ -128,8 +133,10 @@
 }
 
 Answer Leader::CountPending(const Queue& queue) const {
-  return {.content = AnswerContent::kPending,
-          .number = state_.QueuedJobs(queue.name) + fleet_.unbegun_jobs().Count(queue.name)};
+  const KnownQueue* known = state_.FindKnownQueue(queue);
+  const std::size_t pending =
+      known == nullptr ? 0 : known->queued_jobs + fleet_.unbegun_jobs().Count(known->number);
+  return {.content = AnswerContent::kPending, .number = pending};
 }
 
 Answer Leader::PhaseOf(const Job& job) const {
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -166,7 +166,7 @@
     const auto pool = pools.find(moving.to);
     if (pool != pools.end()) ++pool->second.vms;
   }
-  const std::map<std::string, double>& open = state_.open_core_ms();
+  const std::map<std::string, double> open = state_.OpenCoreMs();
   std::vector<Pool> described;
   for (auto& [name, pool] : pools) {
     const auto work = open.find(name);
@@ -228,8 +228,7 @@
   for (const auto& [key, count] : counts) {
     const Job& job = *state_.FindJob(key.first);
     const Step& step = job.spec.steps[key.second];
-    const Queue* queue = FindQueueByName(state_.configuration(), job.queue);
-    demands[queue == nullptr ? job.service : queue->service].push_back(
+    demands[State::QueueOf(job).service].push_back(
         {.count = count, .size = step.footprint(), .max_per_worker = step.max_per_worker});
   }
   return demands;
--- a/control/unbegun_jobs.cc
+++ b/control/unbegun_jobs.cc
@@ -15,7 +15,8 @@
   const bool open = job != nullptr && job->active() && !job->begun;
   if (!open) begun_.erase(id);
   if (!open || job->assigned == 0 || begun_.contains(id)) return Erase(id);
-  if (queues_.try_emplace(id, job->queue).second) ++counts_[job->queue];
+  const QueueNumber queue = job->known_queue->number;
+  if (queues_.try_emplace(id, queue).second) ++counts_[queue];
 }
 
 void UnbegunJobs::OnApplied(const Command& command) {
@@ -31,7 +32,7 @@
   Erase(id);
 }
 
-std::size_t UnbegunJobs::Count(const std::string& queue) const {
+std::size_t UnbegunJobs::Count(QueueNumber queue) const {
   const auto found = counts_.find(queue);
   return found == counts_.end() ? 0 : found->second;
 }
--- a/control/unbegun_jobs.h
+++ b/control/unbegun_jobs.h
@@ -2,7 +2,6 @@
 #define GODWITPADDLE_CONTROL_UNBEGUN_JOBS_H_
 
 #include <cstddef>
-#include <string>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -27,14 +26,15 @@
   void OnBegun(JobId id);
 
   bool Contains(JobId id) const { return queues_.contains(id); }
-  std::size_t Count(const std::string& queue) const;
+  /// Number of unbegun jobs of the queue.
+  std::size_t Count(QueueNumber queue) const;
 
  private:
   void Erase(JobId id);
 
   const State& state_;
-  std::unordered_map<JobId, std::string> queues_;        // of each unbegun job
-  std::unordered_map<std::string, std::size_t> counts_;  // by queue
+  std::unordered_map<JobId, QueueNumber> queues_;        // of each unbegun job
+  std::unordered_map<QueueNumber, std::size_t> counts_;  // by queue
   std::unordered_set<JobId> begun_;                      // known in this term, and not recorded yet
 };
 
--- a/control/wait_report.cc
+++ b/control/wait_report.cc
@@ -102,12 +102,10 @@
   const Job& job = *state_.FindJob(id.job);
   const Step& step = job.spec.steps[id.step];
   const Task& task = *state_.FindTask(id);
-  const Queue* queue = FindQueueByName(state_.configuration(), job.queue);
-  const std::string& service = queue == nullptr ? job.service : queue->service;
   const std::unordered_set<std::string_view> cordoned = cordoned_vms_();
   std::uint32_t roomy = 0;
   std::uint32_t allowed = 0;
-  for (const ObservedWorker& one : fleet_.WorkersOf(service, now)) {
+  for (const ObservedWorker& one : fleet_.WorkersOf(State::QueueOf(job).service, now)) {
     WorkerObstacle obstacle = one.obstacle;
     if (obstacle == WorkerObstacle::kNone && cordoned.contains(one.worker->record.vm)) {
       obstacle = WorkerObstacle::kCordoned;
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -17,14 +17,19 @@
   MSGPACK_DEFINE(configuration)
 };
 
-/// Accepts a job if the key that the client sent with it is valid.
+/// Accepts a job if the key that the client sent with it is valid. The leader proposes it against
+/// the configuration that is in force when the command is applied, so that nodes which find the
+/// queue by its name, as those of earlier versions do, apply the same.
 struct Submit {
   JobId job = 0;
-  std::string queue;
+  std::string queue;  // name
   std::string key;
   std::int64_t wall_ms = 0;  // Unix time by the leader's clock
   JobSpec spec;
-  MSGPACK_DEFINE(job, queue, key, wall_ms, spec)
+  // Of the queue; both empty if a leader of an earlier version proposed the command.
+  std::string host;
+  std::string prefix;
+  MSGPACK_DEFINE(job, queue, key, wall_ms, spec, host, prefix)
 };
 
 /// Cancels a job, unless it has ended already.
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -75,18 +75,10 @@
 
 }  // namespace
 
-const Queue* QueueOf(const Job& job, const State& state) {
-  return FindQueueByName(state.configuration(), job.queue);
-}
-
-const std::string& ServiceOf(const Job& job, const Queue* queue) {
-  return queue == nullptr ? job.service : queue->service;
-}
-
-JobTimes::JobTimes(const Job& job, const Queue* queue, const PlanInput& input)
-    : priority(queue == nullptr ? 0 : queue->priority),
-      factor(input.estimate_factor ? input.estimate_factor(ServiceOf(job, queue)) : 1) {
-  objective_ms = ObjectiveMs(job, queue, factor);
+JobTimes::JobTimes(const Job& job, const PlanInput& input)
+    : priority(State::QueueOf(job).priority),
+      factor(input.estimate_factor ? input.estimate_factor(State::QueueOf(job).service) : 1) {
+  objective_ms = ObjectiveMs(job, factor);
 }
 
 StartRank JobTimes::Rank(const Job& job, std::uint32_t occurrence, std::uint32_t step,
@@ -179,8 +171,8 @@
     return CheckPlaceable(MakeCandidate(cursor, *state_.FindJob(cursor.key.job)));
   }
   const Job& job = *state_.FindJob(cursor.key.job);
-  const StartRank rank = JobTimes(job, QueueOf(job, state_), input_)
-                             .Rank(job, cursor.key.occurrence, cursor.key.step, input_.wall_ms);
+  const StartRank rank =
+      JobTimes(job, input_).Rank(job, cursor.key.occurrence, cursor.key.step, input_.wall_ms);
   if (rank > cursor.key.rank) return rank_anew_(job.id);  // its turn comes later
   const Candidate candidate = MakeCandidate(cursor, job);
   const std::size_t before = starts_.size();
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -18,16 +18,13 @@
 /// The walk of one plan over the waiting steps; see StartPlanner.
 namespace godwitpaddle::jobs::detail {
 
-const Queue* QueueOf(const Job& job, const State& state);
-const std::string& ServiceOf(const Job& job, const Queue* queue);
-
 /// The times and the priority of a job's steps, from which their ranks follow.
 struct JobTimes {
   int priority = 0;
   std::int64_t objective_ms = 0;
   double factor = 1;
 
-  JobTimes(const Job& job, const Queue* queue, const PlanInput& input);
+  JobTimes(const Job& job, const PlanInput& input);
   StartRank Rank(const Job& job, std::uint32_t occurrence, std::uint32_t step,
                  std::int64_t wall_ms) const;
 };
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -8,8 +8,6 @@
 namespace {
 
 using detail::JobTimes;
-using detail::QueueOf;
-using detail::ServiceOf;
 using detail::ServiceQueue;
 using detail::WaitingKey;
 
@@ -26,10 +24,11 @@
 
 }  // namespace
 
-std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor) {
-  const double stretch = estimate_factor * (queue == nullptr ? 1.0 : queue->stretch);
-  const std::int64_t slack = queue == nullptr ? 0 : queue->target_latency_ms;
-  return slack + static_cast<std::int64_t>(stretch * static_cast<double>(job.critical_path_ms));
+std::int64_t ObjectiveMs(const Job& job, double estimate_factor) {
+  const Queue& queue = State::QueueOf(job);
+  const double stretch = estimate_factor * queue.stretch;
+  return queue.target_latency_ms +
+         static_cast<std::int64_t>(stretch * static_cast<double>(job.critical_path_ms));
 }
 
 void StartPlanner::Reset() {
@@ -76,9 +75,8 @@
   Remove(id);
   const Job* job = state_.FindJob(id);
   if (job == nullptr || !job->active()) return;
-  const Queue* queue = QueueOf(*job, state_);
-  const JobTimes times(*job, queue, input);
-  ServiceQueue& waiting = queues_[ServiceOf(*job, queue)];
+  const JobTimes times(*job, input);
+  ServiceQueue& waiting = queues_[State::QueueOf(*job).service];
   for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences(); ++occurrence) {
     if (!IsOccurrenceDue(*job, occurrence, input.wall_ms)) {
       later_.emplace(DueMs(*job, occurrence), id);
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -50,8 +50,8 @@
 };
 
 /// Returns the time in milliseconds within which a job should complete after its acceptance, if
-/// actual run times are `estimate_factor` times the estimates. `queue` is null if it was removed.
-std::int64_t ObjectiveMs(const Job& job, const Queue* queue, double estimate_factor);
+/// actual run times are `estimate_factor` times the estimates.
+std::int64_t ObjectiveMs(const Job& job, double estimate_factor);
 
 /// A waiting step whose tasks fit on no usable worker, though they would fit on an empty one:
 /// either not even once the short tasks there have ended, or its job has nothing running and short
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -8,8 +8,10 @@
 namespace godwitpaddle::jobs {
 namespace {
 
+/// Nodes of earlier versions write and read the first six elements only.
 using Snapshot = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
-                            std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t>;
+                            std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
+                            KnownQueues::Stored>;
 
 /// Recorded VM orders older than this are dropped: they cannot affect the orders of a new leader.
 constexpr std::int64_t kVmOrderRetentionMs = 60'000;
@@ -53,7 +55,7 @@
 
 /// Returns the estimated work of the job that is not done, in core-milliseconds, without
 /// long-running and best-effort steps; 0 for repeated jobs.
-double OpenCoreMs(const Job& job) {
+double OpenCoreMsOf(const Job& job) {
   if (!job.active() || job.spec.repeat_count > 0) return 0;
   double open = 0;
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -114,14 +116,17 @@
 }
 
 std::string State::Encode() const {
-  return godwitpaddle::Encode(
-      Snapshot(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_));
+  return godwitpaddle::Encode(Snapshot(configuration_, jobs_, workers_, waves_, vm_orders_,
+                                       newest_wall_ms_, queues_.Store()));
 }
 
 void State::Decode(const std::string& bytes) {
   Snapshot image;
   if (!bytes.empty()) image = godwitpaddle::Decode<Snapshot>(bytes);
-  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_) = std::move(image);
+  KnownQueues::Stored queues;
+  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues) =
+      std::move(image);
+  queues_.Restore(std::move(queues));
   RebuildIndexes();
 }
 
@@ -131,14 +136,13 @@
   open_jobs_.clear();
   startable_jobs_.clear();
   startable_long_running_jobs_.clear();
-  queued_jobs_.clear();
-  open_core_ms_.clear();
   team_usage_.clear();
   ended_jobs_.clear();
   workers_on_vm_.clear();
   draining_workers_.clear();
   vm_orders_by_time_.clear();
   for (auto& [id, job] : jobs_) {
+    LinkJob(job);
     if (job.active() || job.assigned > 0) open_jobs_.insert(id);
     if (!job.active()) ended_jobs_.emplace(job.ended_ms, id);
     UpdateIndexes(job);
@@ -152,21 +156,34 @@
       CountLongRunning(worker, step, 1);
     }
   }
+  queues_.RemoveUnused();
   for (const auto& [vm, order] : vm_orders_) vm_orders_by_time_.emplace(order.wall_ms, vm);
 }
 
+void State::LinkJob(Job& job) {
+  job.known_queue = queues_.AddStoredJob(job.queue_number);
+  if (job.known_queue == nullptr) {
+    job.queue_number = 0;
+    job.known_queue = &queues_.AddUnplacedJob(job.queue, job.service, configuration_);
+  }
+}
+
+bool State::IsJobOf(const Job& job, const Queue& queue) {
+  const Queue& own = QueueOf(job);
+  return job.queue_number == 0 || (own.host == queue.host && own.prefix == queue.prefix);
+}
+
 void State::UpdateIndexes(Job& job) {
   UpdateStartable(job);
+  KnownQueue& queue = *job.known_queue;
   const bool queued = job.phase == JobPhase::kQueued;
   if (queued != job.counted_as_queued) {
-    std::size_t& count = queued_jobs_[job.queue];
-    count = queued ? count + 1 : count - 1;
+    queue.queued_jobs = queued ? queue.queued_jobs + 1 : queue.queued_jobs - 1;
     job.counted_as_queued = queued;
   }
-  const double core_ms = OpenCoreMs(job);
+  const double core_ms = OpenCoreMsOf(job);
   if (core_ms != job.counted_core_ms) {
-    double& total = open_core_ms_[job.service];
-    total = std::max(0.0, total + core_ms - job.counted_core_ms);
+    queue.open_core_ms = std::max(0.0, queue.open_core_ms + core_ms - job.counted_core_ms);
     job.counted_core_ms = core_ms;
   }
 }
@@ -197,11 +214,6 @@
   return next == startable_jobs_.end() ? nullptr : next->second;
 }
 
-std::size_t State::QueuedJobs(const std::string& queue) const {
-  const auto found = queued_jobs_.find(queue);
-  return found == queued_jobs_.end() ? 0 : found->second;
-}
-
 const Job* State::FindJob(JobId id) const {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
@@ -239,13 +251,20 @@
 ApplyOutcome State::ApplyOne(const Configure& command) {
   if (command.configuration.version > configuration_.version) {
     configuration_ = command.configuration;
+    queues_.Configure(configuration_);
   }
   return ApplyOutcome::kApplied;
 }
 
+const Queue* State::FindQueueOf(const Submit& command) const {
+  const bool placed = !command.host.empty() || !command.prefix.empty();
+  return placed ? FindQueueAt(configuration_, command.host, command.prefix)
+                : FindQueueByName(configuration_, command.queue);
+}
+
 ApplyOutcome State::ApplyOne(const Submit& command) {
   RemoveExpiredJobs(command.wall_ms);
-  const Queue* queue = FindQueueByName(configuration_, command.queue);
+  const Queue* queue = FindQueueOf(command);
   if (queue == nullptr) return ApplyOutcome::kNoQueue;
   const Team* team = FindTeamByKey(configuration_, command.key);
   if (team == nullptr && !queue->open) return ApplyOutcome::kBadKey;
@@ -255,6 +274,8 @@
   job.id = command.job;
   job.queue = command.queue;
   job.service = queue->service;
+  job.known_queue = &queues_.AddJob(*queue);
+  job.queue_number = job.known_queue->number;
   if (team != nullptr && !queue->open) job.team = team->name;
   job.attempts = std::max(1U, queue->attempts);
   job.spec = command.spec;
@@ -487,8 +508,10 @@
   while (!ended_jobs_.empty() &&
          ended_jobs_.begin()->first + options_.ended_retention_ms < newest_wall_ms_) {
     const JobId id = ended_jobs_.begin()->second;
-    if (jobs_.at(id).assigned > 0) break;  // its runs are still being stopped
+    const Job& job = jobs_.at(id);
+    if (job.assigned > 0) break;  // its runs are still being stopped
     ended_jobs_.erase(ended_jobs_.begin());
+    queues_.RemoveJob(*job.known_queue);
     jobs_.erase(id);
   }
 }
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "jobs/commands.h"
+#include "jobs/known_queues.h"
 #include "jobs/types.h"
 
 namespace godwitpaddle::jobs {
@@ -93,8 +94,9 @@
 
 struct Job {
   JobId id = 0;
+  // The queue has this name at acceptance. Later ones: State::QueueOf.
   std::string queue;
-  std::string service;         // of the queue at acceptance; used if the queue is removed later
+  std::string service;         // of the queue at acceptance
   std::string team;            // empty for open queues
   std::uint32_t attempts = 1;  // failed runs of a task after which the job fails
   JobSpec spec;
@@ -105,10 +107,14 @@
   std::vector<StepRun> steps;    // those of the first occurrence, then of the next
   std::uint32_t assigned = 0;    // number of tasks that may be running
   bool begun = false;            // the end of a run that a worker had begun was recorded
+  /// 0: accepted by a node of an earlier version, which does not store where the queue is.
+  QueueNumber queue_number = 0;
   MSGPACK_DEFINE(id, queue, service, team, attempts, spec, critical_path_ms, phase, accepted_ms,
-                 ended_ms, steps, assigned, begun)
+                 ended_ms, steps, assigned, begun, queue_number)
 
-  // What the state's totals count for this job. Derived, not stored.
+  // Derived, not stored.
+  KnownQueue* known_queue = nullptr;  // set for each job of the state
+  // What the totals of the queue count for this job.
   bool counted_as_queued = false;
   double counted_core_ms = 0;
 
@@ -213,11 +219,16 @@
   const std::map<JobId, const Job*>& startable_long_running_jobs() const {
     return Scan(startable_long_running_jobs_);
   }
-  /// Number of the queue's jobs none of whose tasks is assigned or has started.
-  std::size_t QueuedJobs(const std::string& queue) const;
-  /// Estimated work of open jobs by the services of their acceptance, in core-milliseconds, without
-  /// long-running, best-effort and repeated work. Running tasks count half.
-  const std::map<std::string, double>& open_core_ms() const { return open_core_ms_; }
+  /// The job's queue as the newest configuration that has it describes it.
+  static const Queue& QueueOf(const Job& job) { return job.known_queue->queue; }
+  /// Whether calls at this queue concern the job. If it is not known where the job was accepted,
+  /// the calls at all queues do: no other job has its id.
+  static bool IsJobOf(const Job& job, const Queue& queue);
+  /// What is known of the jobs of the queue at this host and prefix; null if it has none.
+  const KnownQueue* FindKnownQueue(const Queue& queue) const { return queues_.Find(queue); }
+  /// Estimated work of open jobs by the present services of their queues, in core-milliseconds,
+  /// without long-running, best-effort and repeated work. Running tasks count half.
+  std::map<std::string, double> OpenCoreMs() const { return queues_.OpenCoreMs(); }
   const std::map<WorkerId, Worker>& workers() const { return Scan(workers_); }
   std::size_t worker_count() const { return workers_.size(); }
   const Worker* FindWorker(const WorkerId& id) const;
@@ -286,6 +297,10 @@
   void IndexWorker(const WorkerRecord& record);
   void RemoveFromIndexes(const WorkerRecord& record);
   void RemoveExpiredJobs(std::int64_t wall_ms);
+  /// Returns the queue of the configuration that the command names; null if there is none.
+  const Queue* FindQueueOf(const Submit& command) const;
+  /// Sets the queue of a job of a snapshot.
+  void LinkJob(Job& job);
   void RebuildIndexes();
 
   StateOptions options_;
@@ -295,12 +310,11 @@
   std::map<VmId, RecordVmOrder> vm_orders_;
   std::map<WaveId, Wave> waves_;
   std::int64_t newest_wall_ms_ = 0;  // latest Unix time of an applied Submit
+  KnownQueues queues_;
   // Derived from the members above.
   std::set<JobId> open_jobs_;
   std::map<JobId, const Job*> startable_jobs_;
   std::map<JobId, const Job*> startable_long_running_jobs_;
-  std::map<std::string, std::size_t> queued_jobs_;  // by queue
-  std::map<std::string, double> open_core_ms_;
   std::unordered_map<VmId, std::set<WorkerId>> workers_on_vm_;
   std::set<WorkerId> draining_workers_;
   std::set<std::pair<std::int64_t, VmId>> vm_orders_by_time_;  // Unix time of the order
--- a/jobs/types.cc
+++ b/jobs/types.cc
@@ -152,6 +152,14 @@
   return best;
 }
 
+const Queue* FindQueueAt(const Configuration& configuration, const std::string& host,
+                         const std::string& prefix) {
+  for (const Queue& queue : configuration.queues) {
+    if (queue.host == host && queue.prefix == prefix) return &queue;
+  }
+  return nullptr;
+}
+
 const Queue* FindQueueByName(const Configuration& configuration, const std::string& name) {
   return FindNamed(configuration.queues, name);
 }
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -98,9 +98,10 @@
 
 // ---- configuration ----
 
-/// A URL prefix at which clients submit jobs, with the policy for these jobs.
+/// A URL prefix at which clients submit jobs, with the policy for these jobs. Host and prefix
+/// identify it: calls name nothing else, and the next configuration may rename it.
 struct Queue {
-  std::string name;
+  std::string name;  // for log lines, and for nodes of earlier versions
   std::string host;
   std::string prefix;
   std::string service;                 // service whose workers run the tasks
@@ -146,6 +147,10 @@
 /// Returns the queue of `host` whose prefix is the longest that `path` begins with; null if none.
 const Queue* FindQueue(const Configuration& configuration, const std::string& host,
                        const std::string& path);
+/// Returns the queue with exactly this host and prefix; null if there is none.
+const Queue* FindQueueAt(const Configuration& configuration, const std::string& host,
+                         const std::string& prefix);
+/// Returns the first queue with the name; null if there is none. Names are not unique.
 const Queue* FindQueueByName(const Configuration& configuration, const std::string& name);
 const Service* FindService(const Configuration& configuration, const std::string& name);
 const Team* FindTeamByKey(const Configuration& configuration, const std::string& key);
--- /dev/null
+++ b/tests/renamed_queue_test.cc
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/job_cluster.h"
+
+// Tests what calls and tasks of accepted jobs get when configurations rename, exchange, move,
+// remove and bring back queues and teams. A call names a host, a path and a key, and nothing else.
+namespace godwitpaddle::testing {
+namespace {
+
+using jobs::AnswerCode;
+using jobs::JobCallKind;
+
+constexpr jobs::JobId kJob = 10;
+constexpr std::int64_t kLongMs = 60'000;
+constexpr std::int64_t kTaskCpu = 1'000;
+
+jobs::Queue MakeQueue(std::string name, std::string prefix, std::string service) {
+  return {.name = std::move(name),
+          .host = "shop",
+          .prefix = std::move(prefix),
+          .service = std::move(service),
+          .attempts = 3,
+          .stretch = 2,
+          .target_latency_ms = 600,
+          .timeout_ms = 3'000};
+}
+
+/// Two services with their workers, and an operator who replaces the queues and the teams.
+struct Shop {
+  JobCluster cluster;
+  std::uint64_t version = 0;
+  std::vector<jobs::Queue> queues = {MakeQueue("quotes", "/q/", "print"),
+                                     MakeQueue("dyes", "/d/", "dye")};
+  std::vector<jobs::Team> teams = {{.name = "mill", .keys = {"k1"}}};
+
+  explicit Shop(std::uint64_t seed, std::int64_t tasks_per_worker = 4) : cluster({.seed = seed}) {
+    REQUIRE(cluster.RunUntilTrue([&] { return cluster.Leader().has_value(); }, 5 * kSecond));
+    cluster.RunFor(kSecond);
+    Configure();
+    for (const char* service : {"print", "dye"}) {
+      for (int i = 0; i < 2; ++i) {
+        cluster.AddWorker(service, {.cpu = tasks_per_worker * kTaskCpu});
+      }
+    }
+    cluster.RunFor(2 * kSecond);
+  }
+
+  jobs::ConfigureCall NextConfiguration() {
+    jobs::Configuration next{.version = ++version, .queues = queues, .teams = teams};
+    next.services = {{.name = "print"}, {.name = "dye"}};
+    next.document = "version " + std::to_string(version);
+    return {.configuration = std::move(next)};
+  }
+  void Configure() { REQUIRE(cluster.CallAndWait(0, NextConfiguration()).code == AnswerCode::kOk); }
+
+  static jobs::JobCall MakeCall(JobCallKind kind, const std::string& path) {
+    return {.kind = kind, .host = "shop", .path = path, .key = "k1"};
+  }
+  static jobs::JobCall MakeSubmit(const std::string& prefix, jobs::JobId job, std::uint32_t tasks,
+                                  std::int64_t duration_ms = kLongMs) {
+    jobs::JobCall call = MakeCall(JobCallKind::kSubmit, prefix + jobs::FormatJob(job));
+    call.spec.payload = std::to_string(kTaskCpu) + " " + std::to_string(duration_ms);
+    call.spec.steps = {{.count = tasks, .size = {.cpu = kTaskCpu}, .estimate_ms = duration_ms}};
+    return call;
+  }
+  jobs::Answer Ask(jobs::JobCall call) {
+    return cluster.CallAndWait(cluster.edge(0), std::move(call));
+  }
+  AnswerCode Submit(const std::string& prefix, jobs::JobId job, std::uint32_t tasks) {
+    return Ask(MakeSubmit(prefix, job, tasks)).code;
+  }
+  jobs::Answer Query(const std::string& prefix, jobs::JobId job) {
+    return Ask(MakeCall(JobCallKind::kQuery, prefix + jobs::FormatJob(job)));
+  }
+  AnswerCode Cancel(const std::string& prefix, jobs::JobId job) {
+    return Ask(MakeCall(JobCallKind::kCancel, prefix + jobs::FormatJob(job))).code;
+  }
+  std::uint64_t Pending(const std::string& prefix) {
+    return Ask(MakeCall(JobCallKind::kQuery, prefix)).number;
+  }
+
+  /// Number of the runs on the workers of the service, of one job or, if `job` is 0, of all.
+  std::size_t Running(const std::string& service, jobs::JobId job = 0) {
+    std::size_t count = 0;
+    for (const auto& [id, worker] : cluster.workers()) {
+      if (!worker.alive || worker.record().service != service) continue;
+      count += static_cast<std::size_t>(std::ranges::count_if(
+          worker.running(),
+          [job](const auto& entry) { return job == 0 || entry.first.job == job; }));
+    }
+    return count;
+  }
+  /// Restarts the workers of the service: their tasks have to start again.
+  void RestartWorkers(const std::string& service) {
+    for (auto& [id, worker] : cluster.workers()) {
+      if (worker.record().service != service) continue;
+      cluster.CrashWorker(id);
+      cluster.RestartWorker(id);
+    }
+    cluster.RunFor(8 * kSecond);
+  }
+  void KillLeader() {
+    const std::size_t leader = *cluster.Leader();
+    cluster.Kill(leader);
+    cluster.RunFor(3 * kSecond);
+    cluster.Start(leader);
+    cluster.RunFor(3 * kSecond);
+  }
+  /// All core nodes lose power and read their disks again.
+  void RestartCoreNodes() {
+    for (std::size_t node = 0; node < cluster.cores(); ++node) cluster.LosePower(node);
+    cluster.RunFor(kSecond);
+    for (std::size_t node = 0; node < cluster.cores(); ++node) cluster.Start(node);
+    cluster.RunFor(6 * kSecond);
+  }
+};
+
+}  // namespace
+
+// Guards against accepted jobs that no call reads, repeats, counts or ends after their queue was
+// renamed.
+TEST_CASE("a queue that is renamed at its host and prefix") {
+  Shop shop(GENERATE(1, 2));
+  REQUIRE(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+  // The second job finds no room: it is pending.
+  REQUIRE(shop.Submit("/q/", kJob + 1, 8) == AnswerCode::kOk);
+  REQUIRE(shop.Submit("/q/", kJob + 2, 1) == AnswerCode::kOk);
+  shop.cluster.RunFor(2 * kSecond);
+  REQUIRE(shop.Pending("/q/") == 1);
+  shop.queues[0].name = "offers";
+  shop.Configure();
+  const auto check = [&] {
+    CHECK(shop.Query("/q/", kJob).text == "running");
+    CHECK(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+    CHECK(shop.Pending("/q/") == 1);
+    CHECK(shop.Running("print", kJob) == 2);
+    CHECK(shop.Cancel("/q/", kJob) == AnswerCode::kOk);
+    shop.cluster.RunFor(3 * kSecond);
+    CHECK(shop.Running("print", kJob) == 0);
+    CHECK(shop.Query("/q/", kJob).text == "cancelled");
+  };
+  SECTION("still has its jobs") { check(); }
+  SECTION("still has its jobs after a change of leader") {
+    shop.KillLeader();
+    check();
+  }
+  SECTION("still has its jobs after a loss of power") {
+    shop.RestartCoreNodes();
+    check();
+  }
+}
+
+// Guards against jobs that change over to the queue that took the name of theirs.
+TEST_CASE("two queues that exchange their names") {
+  Shop shop(GENERATE(1, 2));
+  REQUIRE(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+  shop.cluster.RunFor(kSecond);
+  std::swap(shop.queues[0].name, shop.queues[1].name);
+  shop.Configure();
+  SECTION("keep their jobs") {
+    CHECK(shop.Query("/q/", kJob).text == "running");
+    CHECK(shop.Query("/d/", kJob).code == AnswerCode::kNoSuchJob);
+    CHECK(shop.Cancel("/d/", kJob) == AnswerCode::kNoSuchJob);
+    CHECK(shop.Submit("/d/", kJob, 2) == AnswerCode::kInvalid);
+    shop.cluster.RunFor(3 * kSecond);
+    CHECK(shop.Running("print", kJob) == 2);
+  }
+  SECTION("keep their services") {
+    shop.RestartWorkers("print");
+    CHECK(shop.Running("print", kJob) == 2);
+    CHECK(shop.Running("dye") == 0);
+  }
+  SECTION("keep their services for the next leader") {
+    shop.KillLeader();
+    shop.RestartWorkers("print");
+    CHECK(shop.Running("print", kJob) == 2);
+    CHECK(shop.Running("dye") == 0);
+  }
+}
+
+// Guards against tasks that start on the service of another queue that took the name of theirs.
+TEST_CASE("a name that moves to another prefix and service") {
+  Shop shop(GENERATE(1, 2));
+  REQUIRE(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+  shop.cluster.RunFor(kSecond);
+  SECTION("while the former prefix gets another name") {
+    shop.queues = {MakeQueue("offers", "/q/", "print"), MakeQueue("quotes", "/x/", "dye")};
+    shop.Configure();
+    shop.RestartWorkers("print");
+    CHECK(shop.Query("/q/", kJob).text == "running");
+    CHECK(shop.Query("/x/", kJob).code == AnswerCode::kNoSuchJob);
+    CHECK(shop.Running("print", kJob) == 2);
+    CHECK(shop.Running("dye") == 0);
+  }
+  SECTION("while the former prefix gets no queue") {
+    shop.queues = {MakeQueue("quotes", "/x/", "dye")};
+    shop.Configure();
+    shop.RestartWorkers("print");
+    CHECK(shop.Query("/x/", kJob).code == AnswerCode::kNoSuchJob);
+    CHECK(shop.Running("print", kJob) == 2);
+    CHECK(shop.Running("dye") == 0);
+  }
+}
+
+// Guards against jobs that end, or that calls reach, while their prefix has no queue, and against
+// jobs that are not found again once it has one.
+TEST_CASE("a queue that is removed and brought back") {
+  Shop shop(GENERATE(1, 2));
+  REQUIRE(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+  shop.cluster.RunFor(kSecond);
+  const std::vector<jobs::Queue> before = shop.queues;
+  shop.queues = {before[1]};
+  shop.Configure();
+  CHECK(shop.Query("/q/", kJob).code == AnswerCode::kNoQueue);
+  CHECK(shop.Cancel("/q/", kJob) == AnswerCode::kNoQueue);
+  CHECK(shop.Submit("/q/", kJob, 2) == AnswerCode::kNoQueue);
+  SECTION("has its jobs run meanwhile") {
+    shop.RestartWorkers("print");
+    CHECK(shop.Running("print", kJob) == 2);
+  }
+  SECTION("has its jobs again, under another name") {
+    shop.queues = {before[1], MakeQueue("offers", "/q/", "print")};
+    shop.Configure();
+    CHECK(shop.Query("/q/", kJob).text == "running");
+    CHECK(shop.Submit("/q/", kJob, 2) == AnswerCode::kOk);
+    CHECK(shop.Cancel("/q/", kJob) == AnswerCode::kOk);
+    shop.cluster.RunFor(3 * kSecond);
+    CHECK(shop.Running("print") == 0);
+  }
+  SECTION("has its jobs run on its new service") {
+    shop.queues = {before[1], MakeQueue("offers", "/q/", "dye")};
+    shop.Configure();
+    shop.RestartWorkers("print");
+    CHECK(shop.Running("dye", kJob) == 2);
+    SECTION("also once it is removed again") {
+      shop.queues = {before[1]};
+      shop.Configure();
+      shop.RestartWorkers("dye");
+      CHECK(shop.Running("dye", kJob) == 2);
+      SECTION("and after a loss of power") {
+        shop.RestartCoreNodes();
+        shop.RestartWorkers("dye");
+        CHECK(shop.Running("dye", kJob) == 2);
+        CHECK(shop.Running("print") == 0);
+      }
+    }
+  }
+}
+
+// Guards against two queues of the same name, which a valid configuration may have, that share
+// jobs.
+TEST_CASE("two queues with the same name") {
+  Shop shop(GENERATE(1, 2));
+  shop.queues[1].name = shop.queues[0].name;
+  shop.Configure();
+  REQUIRE(shop.Submit("/d/", kJob, 2) == AnswerCode::kOk);
+  shop.cluster.RunFor(kSecond);
+  CHECK(shop.Running("dye", kJob) == 2);
+  CHECK(shop.Query("/d/", kJob).text == "running");
+  CHECK(shop.Query("/q/", kJob).code == AnswerCode::kNoSuchJob);
+}
+
+}  // namespace godwitpaddle::testing
--- a/tests/state_indexes_test.cc
+++ b/tests/state_indexes_test.cc
@@ -31,18 +31,23 @@
 
 void CheckSame(const State& live, const State& decoded) {
   REQUIRE(live.open_jobs() == decoded.open_jobs());
-  for (const char* queue : {"qa", "qb"}) {
-    REQUIRE(live.QueuedJobs(queue) == decoded.QueuedJobs(queue));
+  const auto queued_jobs = [](const State& state, const Queue& queue) {
+    const KnownQueue* known = state.FindKnownQueue(queue);
+    return known == nullptr ? 0 : known->queued_jobs;
+  };
+  for (const Queue& queue : MakeConfiguration(1, false).queues) {
+    REQUIRE(queued_jobs(live, queue) == queued_jobs(decoded, queue));
     std::size_t queued = 0;
     for (const auto& [id, job] : live.jobs()) {
-      queued += job.phase == JobPhase::kQueued && job.queue == queue ? 1 : 0;
+      queued += job.phase == JobPhase::kQueued && job.queue == queue.name ? 1 : 0;
     }
-    REQUIRE(live.QueuedJobs(queue) == queued);
+    REQUIRE(queued_jobs(live, queue) == queued);
   }
   for (const char* service : {"a", "b"}) {
     const auto sum = [&](const State& state) {
-      const auto found = state.open_core_ms().find(service);
-      return found == state.open_core_ms().end() ? 0.0 : found->second;
+      const auto open = state.OpenCoreMs();
+      const auto found = open.find(service);
+      return found == open.end() ? 0.0 : found->second;
     };
     REQUIRE(std::abs(sum(live) - sum(decoded)) < 1e-3);
   }
