Follow a team by its keys when its name changes

Seen: a team whose name changed used its limit twice, a removed one had none, and two teams that exchanged their names had each other's (QUOTA). A call carries a key. Change: KnownTeams follows the teams across configurations, by a shared key, else by the name. A job refers to its team by a number. A removed team is kept with its last limit while it has jobs. Ruled out: the key of the call in the job; it may be withdrawn while the team stays.

--- a/control/wait_report.cc
+++ b/control/wait_report.cc
@@ -12,16 +12,16 @@
 constexpr int kMaxJobs = 64;
 constexpr int kMaxLines = 16;
 
-bool LimitReached(const State& state, const Job& job, const Resources& size) {
-  const Team* team = FindTeam(state.configuration(), job.team);
-  if (team == nullptr) return false;
-  const auto used = state.team_usage().find(job.team);
-  const Resources total = (used == state.team_usage().end() ? Resources() : used->second) + size;
+bool LimitReached(const Job& job, const Resources& size) {
+  const KnownTeam* known = State::TeamOf(job);
+  if (known == nullptr) return false;
+  const Resources total = known->used + size;
+  const Resources& most = known->team.limit;
   const auto over = [](std::int64_t value, std::int64_t limit) {
     return limit != 0 && value > limit;
   };
-  return over(total.cpu, team->limit.cpu) || over(total.memory_mb, team->limit.memory_mb) ||
-         over(total.accelerators, team->limit.accelerators);
+  return over(total.cpu, most.cpu) || over(total.memory_mb, most.memory_mb) ||
+         over(total.accelerators, most.accelerators);
 }
 
 /// Returns "OBSTACLE:COUNT" for each obstacle of a worker with room; "none" stands for workers that
@@ -119,7 +119,7 @@
   }
   if (step.long_running ? task.paused(wall) : task.held(wall)) {
     wait.reason = WaitReason::kHeld;
-  } else if (LimitReached(state_, job, step.size)) {
+  } else if (LimitReached(job, step.size)) {
     wait.reason = WaitReason::kTeamLimit;
   } else if (wait.workers == 0) {
     wait.reason = WaitReason::kNoWorkers;
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -264,12 +264,11 @@
 }
 
 TeamUsage* PlanWalk::TeamOf(const Job& job) {
-  const auto [entry, is_new] = teams_.try_emplace(job.team);
-  if (is_new) {
-    entry->second.team = FindTeam(state_.configuration(), job.team);
-    const auto used = state_.team_usage().find(job.team);
-    if (used != state_.team_usage().end()) entry->second.used = used->second;
-    entry->second.used += unapplied_.UsageOf(job.team);
+  const KnownTeam* known = State::TeamOf(job);
+  const auto [entry, is_new] = teams_.try_emplace(known);
+  if (is_new && known != nullptr) {
+    entry->second.team = &known->team;
+    entry->second.used = known->used + unapplied_.UsageOf(known->number);
   }
   return &entry->second;
 }
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -56,7 +56,7 @@
 
 /// Resources that a team uses, including the starts planned so far.
 struct TeamUsage {
-  const Team* team = nullptr;
+  const Team* team = nullptr;  // null: no limit applies
   Resources used;
 };
 
@@ -141,7 +141,7 @@
   const RankAnew rank_anew_;
   std::vector<Cursor> cursors_;
   std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
-  std::unordered_map<std::string_view, TeamUsage> teams_;    // cache of look-ups
+  std::unordered_map<const KnownTeam*, TeamUsage> teams_;
   std::vector<Assign> starts_;
   std::set<WaitingKey> overdue_started_;  // steps of which this plan has starts already
   std::map<std::string, UnplaceableStep> unplaceable_;
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -11,7 +11,7 @@
 /// Nodes of earlier versions write and read the first six elements only.
 using Snapshot = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
                             std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
-                            KnownQueues::Stored>;
+                            KnownQueues::Stored, KnownTeams::Stored>;
 
 /// Recorded VM orders older than this are dropped: they cannot affect the orders of a new leader.
 constexpr std::int64_t kVmOrderRetentionMs = 60'000;
@@ -117,16 +117,21 @@
 
 std::string State::Encode() const {
   return godwitpaddle::Encode(Snapshot(configuration_, jobs_, workers_, waves_, vm_orders_,
-                                       newest_wall_ms_, queues_.Store()));
+                                       newest_wall_ms_, queues_.Store(), teams_.Store()));
 }
 
 void State::Decode(const std::string& bytes) {
   Snapshot image;
   if (!bytes.empty()) image = godwitpaddle::Decode<Snapshot>(bytes);
   KnownQueues::Stored queues;
-  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues) =
+  KnownTeams::Stored teams;
+  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues, teams) =
       std::move(image);
   queues_.Restore(std::move(queues));
+  const bool has_teams = !teams.teams.empty();
+  teams_.Restore(std::move(teams));
+  // A snapshot of an earlier version has no teams beside those of the configuration.
+  if (!has_teams) teams_.Configure(configuration_.teams);
   RebuildIndexes();
 }
 
@@ -136,7 +141,6 @@
   open_jobs_.clear();
   startable_jobs_.clear();
   startable_long_running_jobs_.clear();
-  team_usage_.clear();
   ended_jobs_.clear();
   workers_on_vm_.clear();
   draining_workers_.clear();
@@ -152,11 +156,12 @@
     for (const TaskId& task : worker.tasks) {
       const Job& job = jobs_.at(task.job);
       const Step& step = job.spec.steps.at(task.step);
-      team_usage_[job.team] += step.size;
+      if (job.known_team != nullptr) job.known_team->used += step.size;
       CountLongRunning(worker, step, 1);
     }
   }
   queues_.RemoveUnused();
+  teams_.RemoveUnused();
   for (const auto& [vm, order] : vm_orders_) vm_orders_by_time_.emplace(order.wall_ms, vm);
 }
 
@@ -166,6 +171,11 @@
     job.queue_number = 0;
     job.known_queue = &queues_.AddUnplacedJob(job.queue, job.service, configuration_);
   }
+  job.known_team = teams_.FindByNumber(job.team_number);
+  if (job.known_team == nullptr && !job.team.empty()) job.known_team = teams_.FindByName(job.team);
+  if (job.known_team == nullptr) return;
+  job.team_number = job.known_team->number;
+  ++job.known_team->jobs;
 }
 
 bool State::IsJobOf(const Job& job, const Queue& queue) {
@@ -252,6 +262,7 @@
   if (command.configuration.version > configuration_.version) {
     configuration_ = command.configuration;
     queues_.Configure(configuration_);
+    teams_.Configure(configuration_.teams);
   }
   return ApplyOutcome::kApplied;
 }
@@ -276,7 +287,12 @@
   job.service = queue->service;
   job.known_queue = &queues_.AddJob(*queue);
   job.queue_number = job.known_queue->number;
-  if (team != nullptr && !queue->open) job.team = team->name;
+  if (team != nullptr && !queue->open) {
+    job.team = team->name;
+    job.known_team = teams_.FindByKey(command.key);
+    job.team_number = job.known_team->number;
+    ++job.known_team->jobs;
+  }
   job.attempts = std::max(1U, queue->attempts);
   job.spec = command.spec;
   job.critical_path_ms = CriticalPathMs(job.spec);
@@ -333,7 +349,7 @@
   }
   worker->second.used += step.footprint();
   CountLongRunning(worker->second, step, 1);
-  team_usage_[job.team] += step.size;
+  if (job.known_team != nullptr) job.known_team->used += step.size;
   ++job.At(command.task.occurrence, command.task.step).assigned;
   ++job.assigned;
   job.phase = JobPhase::kRunning;
@@ -349,7 +365,7 @@
   const Step& step = job.spec.steps[id.step];
   worker->second.used -= step.footprint();
   CountLongRunning(worker->second, step, -1);
-  team_usage_[job.team] -= step.size;
+  if (job.known_team != nullptr) job.known_team->used -= step.size;
   --job.At(id.occurrence, id.step).assigned;
   --job.assigned;
   task.worker.clear();
@@ -512,6 +528,7 @@
     if (job.assigned > 0) break;  // its runs are still being stopped
     ended_jobs_.erase(ended_jobs_.begin());
     queues_.RemoveJob(*job.known_queue);
+    if (job.known_team != nullptr) teams_.RemoveJob(*job.known_team);
     jobs_.erase(id);
   }
 }
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -14,6 +14,7 @@
 
 #include "jobs/commands.h"
 #include "jobs/known_queues.h"
+#include "jobs/known_teams.h"
 #include "jobs/types.h"
 
 namespace godwitpaddle::jobs {
@@ -94,7 +95,7 @@
 
 struct Job {
   JobId id = 0;
-  // The queue has this name at acceptance. Later ones: State::QueueOf.
+  // The queue and the team have these names at acceptance. Later ones: State::QueueOf and TeamOf.
   std::string queue;
   std::string service;         // of the queue at acceptance
   std::string team;            // empty for open queues
@@ -109,11 +110,13 @@
   bool begun = false;            // the end of a run that a worker had begun was recorded
   /// 0: accepted by a node of an earlier version, which does not store where the queue is.
   QueueNumber queue_number = 0;
+  TeamNumber team_number = 0;  // 0: the queue was open, or the team is unknown
   MSGPACK_DEFINE(id, queue, service, team, attempts, spec, critical_path_ms, phase, accepted_ms,
-                 ended_ms, steps, assigned, begun, queue_number)
+                 ended_ms, steps, assigned, begun, queue_number, team_number)
 
   // Derived, not stored.
   KnownQueue* known_queue = nullptr;  // set for each job of the state
+  KnownTeam* known_team = nullptr;    // null: no team is known, so that no limit applies
   // What the totals of the queue count for this job.
   bool counted_as_queued = false;
   double counted_core_ms = 0;
@@ -221,6 +224,9 @@
   }
   /// The job's queue as the newest configuration that has it describes it.
   static const Queue& QueueOf(const Job& job) { return job.known_queue->queue; }
+  /// The job's team as the newest configuration that has it describes it, and what it uses; null
+  /// if no team is known.
+  static const KnownTeam* TeamOf(const Job& job) { return job.known_team; }
   /// Whether calls at this queue concern the job. If it is not known where the job was accepted,
   /// the calls at all queues do: no other job has its id.
   static bool IsJobOf(const Job& job, const Queue& queue);
@@ -239,8 +245,6 @@
   /// The latest move or maintenance order of the VM; null if there is none. Orders older than a
   /// minute may be missing.
   const RecordVmOrder* FindVmOrder(const VmId& vm) const;
-  /// Sum of Step::size over the assigned tasks of each team, by the team's name.
-  const std::map<std::string, Resources>& team_usage() const { return team_usage_; }
   /// Number of records in the collections that callers got to walk over, or that the state walked
   /// over itself, since its construction. A cost that does not depend on the machine: it must
   /// follow what changes and not what exists.
@@ -299,7 +303,7 @@
   void RemoveExpiredJobs(std::int64_t wall_ms);
   /// Returns the queue of the configuration that the command names; null if there is none.
   const Queue* FindQueueOf(const Submit& command) const;
-  /// Sets the queue of a job of a snapshot.
+  /// Sets the queue and the team of a job of a snapshot.
   void LinkJob(Job& job);
   void RebuildIndexes();
 
@@ -311,6 +315,7 @@
   std::map<WaveId, Wave> waves_;
   std::int64_t newest_wall_ms_ = 0;  // latest Unix time of an applied Submit
   KnownQueues queues_;
+  KnownTeams teams_;
   // Derived from the members above.
   std::set<JobId> open_jobs_;
   std::map<JobId, const Job*> startable_jobs_;
@@ -318,8 +323,7 @@
   std::unordered_map<VmId, std::set<WorkerId>> workers_on_vm_;
   std::set<WorkerId> draining_workers_;
   std::set<std::pair<std::int64_t, VmId>> vm_orders_by_time_;  // Unix time of the order
-  std::map<std::string, Resources> team_usage_;
-  std::set<std::pair<std::int64_t, JobId>> ended_jobs_;  // by the Unix time of their ends
+  std::set<std::pair<std::int64_t, JobId>> ended_jobs_;        // by the Unix time of their ends
   mutable std::uint64_t scanned_ = 0;
 };
 
--- a/jobs/types.cc
+++ b/jobs/types.cc
@@ -168,10 +168,6 @@
   return FindNamed(configuration.services, name);
 }
 
-const Team* FindTeam(const Configuration& configuration, const std::string& name) {
-  return FindNamed(configuration.teams, name);
-}
-
 const Team* FindTeamByKey(const Configuration& configuration, const std::string& key) {
   for (const Team& team : configuration.teams) {
     for (const std::string& known : team.keys) {
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -154,7 +154,6 @@
 const Queue* FindQueueByName(const Configuration& configuration, const std::string& name);
 const Service* FindService(const Configuration& configuration, const std::string& name);
 const Team* FindTeamByKey(const Configuration& configuration, const std::string& key);
-const Team* FindTeam(const Configuration& configuration, const std::string& name);
 
 // ---- workers ----
 
--- a/jobs/unapplied_starts.cc
+++ b/jobs/unapplied_starts.cc
@@ -11,12 +11,12 @@
                          .worker = start.worker,
                          .footprint = footprint,
                          .size = step.size,
-                         .team = job.team,
+                         .team = job.team_number,
                          .long_running = step.long_running};
   UnappliedLoad& load = by_worker_[start.worker];
   ++load.starts;
   load.used += footprint;
-  by_team_[job.team] += step.size;
+  by_team_[job.team_number] += step.size;
   if (!step.long_running) return;
   ++load.long_running_starts;
   load.long_running_used += footprint;
@@ -67,7 +67,7 @@
   return found == by_worker_.end() ? UnappliedLoad() : found->second;
 }
 
-Resources UnappliedStarts::UsageOf(const std::string& team) const {
+Resources UnappliedStarts::UsageOf(TeamNumber team) const {
   const auto found = by_team_.find(team);
   return found == by_team_.end() ? Resources() : found->second;
 }
--- a/jobs/unapplied_starts.h
+++ b/jobs/unapplied_starts.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <unordered_map>
 
 #include "jobs/commands.h"
@@ -39,7 +38,7 @@
   UnappliedLoad LoadOf(const WorkerId& worker) const;
   bool HasStartOn(const WorkerId& worker) const { return by_worker_.contains(worker); }
   /// Returns what the planned starts add to the usage of the team.
-  Resources UsageOf(const std::string& team) const;
+  Resources UsageOf(TeamNumber team) const;
 
  private:
   struct Start {
@@ -47,13 +46,13 @@
     WorkerId worker;
     Resources footprint;
     Resources size;
-    std::string team;
+    TeamNumber team = 0;
     bool long_running = false;
   };
 
   std::map<TaskId, Start> starts_;
   std::unordered_map<WorkerId, UnappliedLoad> by_worker_;
-  std::unordered_map<std::string, Resources> by_team_;
+  std::unordered_map<TeamNumber, Resources> by_team_;
 };
 
 }  // namespace godwitpaddle::jobs
--- a/tests/job_state_test.cc
+++ b/tests/job_state_test.cc
@@ -250,7 +250,7 @@
   restored.Decode(state.Encode());
   CHECK(restored.Encode() == state.Encode());
   CHECK(restored.open_jobs() == state.open_jobs());
-  CHECK(restored.team_usage().at("mill").cpu == 1'000);
+  CHECK(State::TeamOf(*restored.FindJob(1))->used.cpu == 1'000);
   SECTION("and the restored state applies further commands") {
     CHECK(restored.Apply(Assign{.task = {.job = 1}, .run = 2, .worker = "w2"}) ==
           ApplyOutcome::kRejected);
--- a/tests/known_queues_test.cc
+++ b/tests/known_queues_test.cc
@@ -108,6 +108,12 @@
     CHECK(State::QueueOf(*state.FindJob(2)).service == "dye");
     CHECK(state.FindKnownQueue(dyes)->queued_jobs == 1);
   }
+  SECTION("has the usage of its teams") {
+    const KnownTeam* mill = State::TeamOf(*state.FindJob(1));
+    REQUIRE(mill != nullptr);
+    CHECK(mill->used.cpu == 1'000);
+    CHECK(mill->team.limit.cpu == 2'000);
+  }
   SECTION("takes the commands of both versions") {
     const auto former = Decode<Command>(FromHex(kFormerSubmit));
     CHECK(state.Apply(former) == ApplyOutcome::kApplied);
@@ -117,10 +123,12 @@
     CHECK(state.Apply(RecordEnd{
               .worker = "w1", .incarnation_ms = 1, .number = 1, .task = {.job = 1}, .run = 1}) ==
           ApplyOutcome::kApplied);
+    CHECK(State::TeamOf(*state.FindJob(1))->used.cpu == 0);
   }
   SECTION("is stored again without loss") {
     const State again = Reload(state);
     CHECK(State::IsJobOf(*again.FindJob(1), offers));
+    CHECK(State::TeamOf(*again.FindJob(1))->used.cpu == 1'000);
   }
 }
 
@@ -162,8 +170,8 @@
   }
 }
 
-// Guards against records of removed queues that stay for good.
-TEST_CASE("a removed queue") {
+// Guards against records of removed queues and teams that stay for good.
+TEST_CASE("a removed queue and team") {
   State state;
   const Queue quotes = MakeQueue("quotes", "/q/", "print");
   const Queue dyes = MakeQueue("dyes", "/d/", "dye");
@@ -173,6 +181,7 @@
   other.teams = {{.name = "loom", .keys = {"k2"}}};
   state.Apply(Configure{.configuration = other});
   REQUIRE(state.FindKnownQueue(quotes) != nullptr);
+  REQUIRE(State::TeamOf(*state.FindJob(1))->team.name == "mill");
   const std::size_t with_job = state.Encode().size();
   SECTION("are kept while their job is, also after a restart") {
     CHECK(Reload(state).FindKnownQueue(quotes)->queue.service == "print");
@@ -189,4 +198,26 @@
   }
 }
 
+// Guards against a key that makes two teams of one, or one of two.
+TEST_CASE("a team that is split in two") {
+  State state;
+  const Queue quotes = MakeQueue("quotes", "/q/", "print");
+  Configuration first = MakeConfiguration(1, {quotes});
+  first.teams[0].keys = {"k1", "k2"};
+  state.Apply(Configure{.configuration = first});
+  state.Apply(MakeSubmit(1, quotes));
+  Configuration split = first;
+  split.version = 2;
+  split.teams = {{.name = "loom", .keys = {"k1"}}, {.name = "mill", .keys = {"k2"}}};
+  state.Apply(Configure{.configuration = split});
+  SECTION("keeps its jobs under its name") {
+    CHECK(State::TeamOf(*state.FindJob(1))->team.name == "mill");
+  }
+  SECTION("gives the other one the jobs that come with its key") {
+    state.Apply(MakeSubmit(2, quotes));
+    CHECK(State::TeamOf(*state.FindJob(2))->team.name == "loom");
+    CHECK(State::TeamOf(*state.FindJob(1)) != State::TeamOf(*state.FindJob(2)));
+  }
+}
+
 }  // namespace godwitpaddle::jobs
--- a/tests/renamed_queue_test.cc
+++ b/tests/renamed_queue_test.cc
@@ -265,4 +265,74 @@
   CHECK(shop.Query("/q/", kJob).code == AnswerCode::kNoSuchJob);
 }
 
+// Guards against a team that uses its limit twice, or without bound, after its name has changed.
+TEST_CASE("a team with a limit") {
+  Shop shop(GENERATE(1, 2), 20);
+  const jobs::Team mill{.name = "mill", .keys = {"k1", "k2"}, .limit = {.cpu = 4 * kTaskCpu}};
+  const jobs::Team loom{.name = "loom", .keys = {"k3"}};
+  shop.teams = {mill, loom};
+  shop.Configure();
+  REQUIRE(shop.Submit("/q/", kJob, 10) == AnswerCode::kOk);
+  shop.cluster.RunFor(kSecond);
+  REQUIRE(shop.Running("print") == 4);
+  const auto check_limit = [&] {
+    shop.cluster.RunFor(2 * kSecond);
+    CHECK(shop.Running("print") == 4);
+    shop.RestartWorkers("print");
+    // Tasks whose worker has crashed start alone on a worker at first.
+    CHECK(shop.Running("print") > 0);
+    CHECK(shop.Running("print") <= 4);
+  };
+  const auto submit_more = [&](const std::string& key) {
+    jobs::JobCall more = Shop::MakeSubmit("/q/", kJob + 1, 10);
+    more.key = key;
+    REQUIRE(shop.Ask(more).code == AnswerCode::kOk);
+  };
+  SECTION("keeps it under another name") {
+    shop.teams[0].name = "spinners";
+    shop.Configure();
+    submit_more("k1");
+    check_limit();
+  }
+  SECTION("keeps it when it exchanges its name with another team") {
+    std::swap(shop.teams[0].name, shop.teams[1].name);
+    shop.Configure();
+    submit_more("k2");
+    check_limit();
+  }
+  SECTION("keeps it when its keys are replaced, and its name later") {
+    shop.teams[0].keys = {"k4"};
+    shop.Configure();
+    shop.teams[0].name = "spinners";
+    shop.Configure();
+    submit_more("k4");
+    check_limit();
+  }
+  SECTION("keeps it after its removal") {
+    shop.teams = {loom};
+    shop.Configure();
+    SECTION("while it is away") { check_limit(); }
+    SECTION("and when it is added again under another name") {
+      shop.teams = {loom, mill};
+      shop.teams[1].name = "spinners";
+      shop.Configure();
+      submit_more("k1");
+      check_limit();
+    }
+    SECTION("and after a loss of power") {
+      shop.RestartCoreNodes();
+      check_limit();
+    }
+  }
+  SECTION("does not hand it to the team that takes its name") {
+    shop.teams = {mill, loom};
+    shop.teams[0].name = "spinners";
+    shop.teams[1].name = "mill";
+    shop.Configure();
+    submit_more("k3");
+    shop.cluster.RunFor(2 * kSecond);
+    CHECK(shop.Running("print") == 14);
+  }
+}
+
 }  // namespace godwitpaddle::testing
