Check a job under the configuration under which it is applied

Seen: while a queue's name changed again and again, POSTs were answered 404 although the prefix had a queue at every moment. Cause: the leader checked a POST against the applied configuration while another one was proposed and not applied. The application then looked for a name that was gone. Ruled out: to look for host and prefix at the application only. Change: while a configuration is proposed and not applied, POSTs, cancellations of held jobs and further configurations wait on the leader, in the order of their arrival. A new leader gets them from the gateways.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -83,6 +83,8 @@
   proposals_.clear();
   requesters_.clear();
   unapplied_submits_.clear();
+  configure_unapplied_ = false;
+  held_calls_.clear();
   fleet_.BeginTerm(term, now, wall);
   orders_.BeginTerm(term, now);
   maintenance_.BeginTerm(now);
@@ -104,6 +106,8 @@
   proposals_.clear();
   requesters_.clear();
   unapplied_submits_.clear();
+  configure_unapplied_ = false;
+  held_calls_.clear();  // gateways send them to the next leader
   fleet_.EndTerm();
   orders_.EndTerm();
 }
@@ -174,6 +178,8 @@
     out.Log("configuration_applied",
             {{"version", std::to_string(change->configuration.version)},
              {"in_force", std::to_string(state_.configuration().version)}});
+    configure_unapplied_ = false;
+    HandleHeldCalls(now, wall, out);
   }
   plan_due_ = true;
 }
--- a/control/leader.h
+++ b/control/leader.h
@@ -2,6 +2,7 @@
 #define GODWITPADDLE_CONTROL_LEADER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -57,7 +58,8 @@
 
   /// Handles a call that a gateway forwarded and that has waited on this node for `waited`. The
   /// answer is sent at once, or when the command that it proposes is applied. A job whose call has
-  /// waited for long is refused: the leader cannot keep up with more.
+  /// waited for long is refused: the leader cannot keep up with more. While a configuration is
+  /// proposed and not applied, calls that it may concern wait: see HasToWait.
   void OnCall(const CallRequest& request, Micros waited, Micros now, WallMs wall, Outbox& out);
   void OnOrderReply(const OrderEvent& event, Micros now, WallMs wall, Outbox& out);
   void OnVmReply(const VmEvent& event, Micros now, WallMs wall, Outbox& out);
@@ -81,6 +83,12 @@
     Requester requester;
   };
 
+  /// A call that waits until the configuration proposed before it is applied.
+  struct HeldCall {
+    CallRequest request;
+    Micros waited = 0;  // before it was held
+  };
+
   void Propose(Command command) { proposals_.push_back({.command = std::move(command)}); }
   void ProposeFor(Command command, const CallRequest& request);
   static Requester RequesterOf(const CallRequest& request) {
@@ -89,6 +97,12 @@
   void Reply(const Requester& requester, Answer answer, Outbox& out) const;
   void Refuse(const JobCall& call, const CallRequest& request, Answer refusal, Outbox& out) const;
 
+  void HandleCall(const CallRequest& request, Micros waited, Micros now, WallMs wall, Outbox& out);
+  /// Whether the call waits until the proposed configuration is applied. Jobs do, so that each is
+  /// checked against the configuration under which it is applied, and so do further
+  /// configurations, so that no job waits for more than those that arrived before it.
+  bool HasToWait(const Call& call) const;
+  void HandleHeldCalls(Micros now, WallMs wall, Outbox& out);
   void Handle(const JobCall& call, const CallRequest& request, Micros now, WallMs wall,
               Outbox& out);
   void Handle(const HeartbeatCall& call, const CallRequest& request, Micros now, WallMs wall,
@@ -150,6 +164,8 @@
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Requester> requesters_;  // of proposed commands, by log index
   std::multiset<JobId> unapplied_submits_;         // jobs of proposed Submits, not applied yet
+  bool configure_unapplied_ = false;               // a Configure is proposed, and not applied yet
+  std::deque<HeldCall> held_calls_;                // in the order of their arrival
   Micros call_waited_ = 0;                         // of the call that is handled
   PlanPace pace_;
   bool plan_due_ = false;
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -39,10 +39,40 @@
 
 void Leader::OnCall(const CallRequest& request, Micros waited, Micros now, WallMs wall,
                     Outbox& out) {
+  if (HasToWait(request.call)) {
+    held_calls_.push_back({.request = request, .waited = waited});
+    return out.Count("calls_held_total");
+  }
+  HandleCall(request, waited, now, wall, out);
+}
+
+void Leader::HandleCall(const CallRequest& request, Micros waited, Micros now, WallMs wall,
+                        Outbox& out) {
   call_waited_ = waited;
   std::visit([&](const auto& call) { Handle(call, request, now, wall, out); }, request.call);
 }
 
+bool Leader::HasToWait(const Call& call) const {
+  if (!configure_unapplied_) return false;
+  if (std::holds_alternative<ConfigureCall>(call)) return true;
+  const auto* job_call = std::get_if<JobCall>(&call);
+  if (job_call == nullptr || job_call->kind == JobCallKind::kQuery) return false;
+  if (job_call->kind == JobCallKind::kSubmit) return true;
+  // A cancellation waits for the job that it cancels.
+  return std::ranges::any_of(held_calls_, [&](const HeldCall& held) {
+    const auto* before = std::get_if<JobCall>(&held.request.call);
+    return before != nullptr && before->host == job_call->host && before->path == job_call->path;
+  });
+}
+
+void Leader::HandleHeldCalls(Micros now, WallMs wall, Outbox& out) {
+  while (!held_calls_.empty() && !configure_unapplied_) {
+    const HeldCall next = std::move(held_calls_.front());
+    held_calls_.pop_front();
+    HandleCall(next.request, next.waited, now, wall, out);
+  }
+}
+
 void Leader::Handle(const JobCall& call, const CallRequest& request, Micros /*now*/, WallMs wall,
                     Outbox& out) {
   const Configuration& configuration = state_.configuration();
@@ -197,6 +227,7 @@
   if (call.configuration.version <= state_.configuration().version) {
     return Reply(requester, {}, out);
   }
+  configure_unapplied_ = true;
   ProposeFor(Configure{.configuration = call.configuration}, request);
 }
 
--- a/tests/renamed_queue_test.cc
+++ b/tests/renamed_queue_test.cc
@@ -252,6 +252,35 @@
   }
 }
 
+// Guards against a job that is refused for want of a queue because the configuration changed
+// between the leader's check and the application.
+TEST_CASE("jobs that arrive while the name of their queue changes") {
+  Shop shop(GENERATE(1, 2, 3));
+  jobs::JobId next = kJob;
+  int refused = 0;
+  int answered = 0;
+  for (int round = 0; round < 60; ++round) {
+    shop.queues[0].name = "quotes-" + std::to_string(round);
+    // Two operators send their changes at the same time.
+    for (std::size_t node = 0; node < 2; ++node) {
+      shop.cluster.Call(node, shop.NextConfiguration(), [](const auto&) {});
+    }
+    for (int i = 0; i < 10; ++i) {
+      const jobs::JobId job = next++;
+      shop.cluster.Call(shop.cluster.edge(job % 2), Shop::MakeSubmit("/q/", job, 1, 100),
+                        [&](const auto& answer) {
+                          ++answered;
+                          if (answer.code != AnswerCode::kOk) ++refused;
+                        });
+      shop.cluster.RunFor(5 * kMillisecond);
+    }
+  }
+  shop.cluster.RunFor(3 * kSecond);
+  CHECK(refused == 0);
+  CHECK(answered == 600);
+  CHECK(shop.Query("/q/", kJob).code == AnswerCode::kOk);
+}
+
 // Guards against two queues of the same name, which a valid configuration may have, that share
 // jobs.
 TEST_CASE("two queues with the same name") {
