--- a/tests/job_soak.cc
+++ b/tests/job_soak.cc
@@ -6,9 +6,9 @@
 #include "tests/job_soak_run.h"
 
 // Soak test of job control: job_soak [--seed FIRST] [--seeds COUNT] [--steps N]
-// [--waves-and-power] [--full-platform] [--late-after-restart] [--relayed-orders]. Prints one line
-// of totals for each seed. For a seed with violations it also prints these and the nodes' last log
-// lines, and exits with 1 at the end.
+// [--waves-and-power] [--full-platform] [--late-after-restart] [--relayed-orders]
+// [--changing-queues]. Prints one line of totals for each seed. For a seed with violations it also
+// prints these and the nodes' last log lines, and exits with 1 at the end.
 int main(int argc, const char** argv) {
   int first = 1;
   int count = 1;
@@ -17,6 +17,7 @@
   int full_platform = 0;
   int late_after_restart = 0;
   int relayed_orders = 0;
+  int changing_queues = 0;
   const poptOption options[] = {
       {"seed", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
       {"seeds", 0, POPT_ARG_INT, &count, 0, "number of seeds", "N"},
@@ -30,6 +31,8 @@
        "late orders survive a restart of the worker's process", nullptr},
       {"relayed-orders", 0, POPT_ARG_NONE, &relayed_orders, 0,
        "core nodes relay the leader's orders to workers", nullptr},
+      {"changing-queues", 0, POPT_ARG_NONE, &changing_queues, 0,
+       "operators rename, move and remove queues and teams", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   const poptContext context =
       poptGetContext(nullptr, argc, argv, static_cast<const poptOption*>(options), 0);
@@ -47,7 +50,8 @@
                                            .waves_and_power = waves_and_power != 0,
                                            .full_platform = full_platform != 0,
                                            .late_after_restart = late_after_restart != 0,
-                                           .relayed_orders = relayed_orders != 0});
+                                           .relayed_orders = relayed_orders != 0,
+                                           .changing_queues = changing_queues != 0});
     std::cout << "seed=" << seed << " " << godwitpaddle::testing::JobSoakLine(result) << std::endl;
     if (result.violations.empty()) continue;
     ++failed;
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -1,12 +1,14 @@
 #include "tests/job_soak_run.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
 
+#include "tests/drawn_configurations.h"
 #include "tests/job_cluster.h"
 
 namespace godwitpaddle::testing {
@@ -24,7 +26,7 @@
 constexpr std::uint64_t kStepsPerWave = 400;
 constexpr Micros kSlowSync = 250 * kMillisecond;
 constexpr Micros kSlowDisks = 3 * kSecond;
-/// First worker of the second service, in a full-platform run.
+/// First worker of the second service, in a run with two services.
 constexpr std::size_t kFirstCopyWorker = 5;
 constexpr std::size_t kStandbyVms = 3;
 constexpr std::uint64_t kStepsPerService = 70;  // load alternates between the services
@@ -47,6 +49,7 @@
   explicit Soak(const JobSoakOptions& options)
       : options_(options),
         waves_and_power_(options.waves_and_power || options.full_platform),
+        two_services_(options.full_platform || options.changing_queues),
         cluster_(DefaultFaults(options)) {}
 
   JobSoakResult Run();
@@ -63,6 +66,8 @@
   void Cancel(jobs::JobId job);
   void Query(jobs::JobId job);
   void Configure();
+  /// Puts a configuration with all queues and teams in force.
+  void CompleteConfiguration();
   void ReadConfiguration();
   void StartWave();
   void CheckWaves();
@@ -71,7 +76,17 @@
   std::optional<jobs::WorkerId> RandomLiveWorker();
   /// Applies `change` to the options of the cluster for some seconds.
   void ChangeFaultsBriefly(const std::function<void(JobClusterOptions&)>& change);
-  bool IsCopyJob(jobs::JobId job) const { return copy_jobs_.contains(job); }
+  JobOrigin OriginOf(jobs::JobId job) const {
+    const auto found = origins_.find(job);
+    return found == origins_.end() ? JobOrigin() : found->second;
+  }
+  void ChooseOrigin(jobs::JobId job);
+  /// Checks the code of an answer to a call that was made while `since` was the highest
+  /// acknowledged version, in a run with changing queues.
+  void CheckAnswer(const jobs::JobCall& call, jobs::JobId job, std::uint64_t since,
+                   AnswerCode code);
+  /// Checks the services on which tasks run, and what the teams use, in a run with changing queues.
+  void CheckOrigins();
   void CheckCompletedJob(jobs::JobId job, const jobs::Answer& answer);
   void InjectFault();
   void InjectNodeFault();
@@ -81,11 +96,13 @@
   void CheckFinalState();
   std::size_t LostNodes() const;
   jobs::JobCall MakeCall(JobCallKind kind, jobs::JobId job) const;
-  jobs::Configuration MakeConfiguration(std::uint64_t version) const;
+  jobs::Configuration MakeConfiguration(std::uint64_t version);
 
   const JobSoakOptions options_;
   const bool waves_and_power_;
+  const bool two_services_;
   JobCluster cluster_;
+  DrawnConfigurations drawn_;
   JobSoakResult result_;
   std::map<jobs::JobId, KnownJob> known_jobs_;
   jobs::JobId last_job_ = 0;
@@ -94,7 +111,7 @@
   std::set<std::size_t> lost_nodes_;  // core nodes that are down or catching up
   jobs::WaveId last_wave_ = 0;
   std::uint64_t step_ = 0;
-  std::set<jobs::JobId> copy_jobs_;  // jobs of the second service
+  std::map<jobs::JobId, JobOrigin> origins_;  // of jobs that differ from JobOrigin()
   bool faults_ended_ = false;
 };
 
@@ -123,7 +140,10 @@
   return faults;
 }
 
-jobs::Configuration Soak::MakeConfiguration(std::uint64_t version) const {
+jobs::Configuration Soak::MakeConfiguration(std::uint64_t version) {
+  if (options_.changing_queues) {
+    return version == 1 ? drawn_.Complete(1) : drawn_.Draw(version, cluster_.rng());
+  }
   jobs::Configuration configuration{.version = version};
   configuration.services = {{.name = "print"}};
   configuration.queues = {{.name = "quotes",
@@ -148,10 +168,12 @@
 }
 
 jobs::JobCall Soak::MakeCall(JobCallKind kind, jobs::JobId job) const {
+  const JobOrigin origin = OriginOf(job);
   jobs::JobCall call{
-      .kind = kind, .host = "shop", .path = "/q/" + jobs::FormatJob(job), .key = "k1"};
-  if (IsCopyJob(job)) call.path = "/c/" + jobs::FormatJob(job);
+      .kind = kind, .host = "shop", .path = origin.prefix + jobs::FormatJob(job), .key = "k1"};
+  if (options_.changing_queues) call.key = DrawnConfigurations::LastingKey(origin.team);
   if (kind != JobCallKind::kSubmit) return call;
+  if (options_.changing_queues && job % 2 == 0) call.key = drawn_.NewestKey(origin.team);
   call.spec.payload = "1000 " + std::to_string(100 + job % 7 * 150);
   call.spec.steps = {{.count = 1 + static_cast<std::uint32_t>(job % 4),
                       .size = {.cpu = 1'000},
@@ -168,7 +190,7 @@
          AnswerCode::kOk) {
   }
   for (std::size_t i = 0; i < kWorkers; ++i) {
-    const bool copy = options_.full_platform && i >= kFirstCopyWorker;
+    const bool copy = two_services_ && i >= kFirstCopyWorker;
     cluster_.AddWorker(copy ? "copy" : "print", {.cpu = 6'000});
   }
   cluster_.standby_pools = {"off"};
@@ -178,9 +200,39 @@
   cluster_.RunFor(2 * kSecond);
 }
 
+void Soak::ChooseOrigin(jobs::JobId job) {
+  if (options_.changing_queues) {
+    const auto& prefixes = DrawnConfigurations::kPrefixes;
+    origins_[job] = {.prefix = prefixes.at(RandomBelow(prefixes.size())),
+                     .team = RandomBelow(DrawnConfigurations::kTeams)};
+  } else if (options_.full_platform && step_ / kStepsPerService % 2 == 1) {
+    origins_[job] = {.prefix = "/c/"};
+  }
+}
+
+void Soak::CheckAnswer(const jobs::JobCall& call, jobs::JobId job, std::uint64_t since,
+                       AnswerCode code) {
+  if (!options_.changing_queues) return;
+  const std::string& prefix = OriginOf(job).prefix;
+  const bool has_queue = drawn_.AlwaysHasQueue(since, prefix);
+  const bool has_key = drawn_.AlwaysHasKey(since, call.key);
+  const bool wrong = (code == AnswerCode::kNoQueue && has_queue) ||
+                     (code == AnswerCode::kBadKey && has_queue && has_key) ||
+                     (code == AnswerCode::kOk && drawn_.NeverHasQueue(since, prefix)) ||
+                     code == AnswerCode::kInvalid;
+  if (!wrong) return;
+  cluster_.AddViolation(std::string(NameOf(jobs::kJobCallKindNames, call.kind)) + " of " +
+                        call.path + " is answered " +
+                        std::string(NameOf(jobs::kAnswerCodeNames, code)) + ", made when version " +
+                        std::to_string(since) + " was acknowledged");
+}
+
 void Soak::Submit(jobs::JobId job) {
   ++known_jobs_[job].waiting;
-  cluster_.Call(RandomEdge(), MakeCall(JobCallKind::kSubmit, job), [this, job](const auto& answer) {
+  const jobs::JobCall call = MakeCall(JobCallKind::kSubmit, job);
+  const std::uint64_t since = acknowledged_version_;
+  cluster_.Call(RandomEdge(), call, [this, job, call, since](const auto& answer) {
+    CheckAnswer(call, job, since, answer.code);
     KnownJob& known = known_jobs_[job];
     --known.waiting;
     if (answer.code == AnswerCode::kOk) {
@@ -198,7 +250,14 @@
 }
 
 void Soak::Cancel(jobs::JobId job) {
-  cluster_.Call(RandomEdge(), MakeCall(JobCallKind::kCancel, job), [this, job](const auto& answer) {
+  const jobs::JobCall call = MakeCall(JobCallKind::kCancel, job);
+  const std::uint64_t since = acknowledged_version_;
+  const bool accepted = known_jobs_[job].accepted;
+  cluster_.Call(RandomEdge(), call, [this, job, call, since, accepted](const auto& answer) {
+    CheckAnswer(call, job, since, answer.code);
+    if (accepted && answer.code == AnswerCode::kNoSuchJob) {
+      cluster_.AddViolation(jobs::FormatJob(job) + " was accepted and cannot be cancelled");
+    }
     KnownJob& known = known_jobs_[job];
     if (answer.code == AnswerCode::kOk) {
       known.cancelled = true;
@@ -211,13 +270,15 @@
 
 void Soak::Query(jobs::JobId job) {
   const bool accepted = known_jobs_[job].accepted;
-  cluster_.Call(
-      RandomEdge(), MakeCall(JobCallKind::kQuery, job), [this, job, accepted](const auto& answer) {
-        if (accepted && answer.code == AnswerCode::kNoSuchJob) {
-          cluster_.AddViolation(jobs::FormatJob(job) + " was accepted and does not exist");
-        }
-        CheckCompletedJob(job, answer);
-      });
+  const jobs::JobCall call = MakeCall(JobCallKind::kQuery, job);
+  const std::uint64_t since = acknowledged_version_;
+  cluster_.Call(RandomEdge(), call, [this, job, call, since, accepted](const auto& answer) {
+    CheckAnswer(call, job, since, answer.code);
+    if (accepted && answer.code == AnswerCode::kNoSuchJob) {
+      cluster_.AddViolation(jobs::FormatJob(job) + " was accepted and does not exist");
+    }
+    CheckCompletedJob(job, answer);
+  });
 }
 
 /// Checks that all tasks of a job that is reported as completed are done.
@@ -237,18 +298,26 @@
 
 void Soak::Configure() {
   const std::uint64_t version = last_version_ += 1 + RandomBelow(3);
-  const auto send = [this, version] {
-    cluster_.Call(RandomBelow(cluster_.cores()),
-                  jobs::ConfigureCall{.configuration = MakeConfiguration(version)},
-                  [this, version](const auto& answer) {
-                    if (answer.code != AnswerCode::kOk) return;
-                    acknowledged_version_ = std::max(acknowledged_version_, version);
-                  });
+  const jobs::ConfigureCall call{.configuration = MakeConfiguration(version)};
+  const auto send = [this, version, call] {
+    cluster_.Call(RandomBelow(cluster_.cores()), call, [this, version](const auto& answer) {
+      if (answer.code != AnswerCode::kOk) return;
+      acknowledged_version_ = std::max(acknowledged_version_, version);
+    });
   };
   send();
   if (RandomBelow(2) == 0) send();  // a second operator, or a retry
 }
 
+void Soak::CompleteConfiguration() {
+  const std::uint64_t version = ++last_version_;
+  const jobs::ConfigureCall call{.configuration = drawn_.Complete(version)};
+  while (cluster_.CallAndWait(0, call).code != AnswerCode::kOk) {
+    cluster_.RunFor(200 * kMillisecond);
+  }
+  acknowledged_version_ = version;
+}
+
 void Soak::ReadConfiguration() {
   const std::uint64_t least = acknowledged_version_;
   cluster_.Call(RandomBelow(cluster_.cores()), jobs::ReadConfigurationCall{},
@@ -431,11 +500,32 @@
   }
 }
 
+void Soak::CheckOrigins() {
+  if (!options_.changing_queues) return;
+  std::array<std::int64_t, DrawnConfigurations::kTeams> used{};
+  for (auto& [id, worker] : cluster_.workers()) {
+    if (!worker.alive) continue;
+    worker.Advance(cluster_.now());
+    for (const auto& [task, run] : worker.running()) {
+      const JobOrigin origin = OriginOf(task.job);
+      used.at(origin.team) += run.size.cpu;
+      if (drawn_.HasSent(origin.prefix, worker.record().service)) continue;
+      cluster_.AddViolation(jobs::FormatTask(task) + " of " + origin.prefix + " runs on " +
+                            worker.record().service);
+    }
+  }
+  for (const std::int64_t cpu : used) {
+    if (cpu <= DrawnConfigurations::kTeamCpu) continue;
+    cluster_.AddViolation("a team uses " + std::to_string(cpu) + " of its limit of " +
+                          std::to_string(DrawnConfigurations::kTeamCpu));
+  }
+}
+
 void Soak::RunStep() {
   const std::uint64_t kind = RandomBelow(100);
   if (kind < 45) {
     ++last_job_;
-    if (options_.full_platform && step_ / kStepsPerService % 2 == 1) copy_jobs_.insert(last_job_);
+    ChooseOrigin(last_job_);
     Submit(last_job_);
   } else if (kind < 55 && last_job_ > 0) {
     Submit(RandomJob());  // repeats an earlier submit
@@ -452,6 +542,7 @@
   }
   cluster_.RunFor(static_cast<Micros>(RandomBelow(120)) * kMillisecond);
   CheckWorkers();
+  CheckOrigins();
 }
 
 void Soak::EndFaults() {
@@ -471,6 +562,7 @@
   for (auto& [id, worker] : cluster_.workers()) {
     if (!worker.alive) cluster_.RestartWorker(id);
   }
+  if (options_.changing_queues) CompleteConfiguration();
   cluster_.RunFor(options_.full_platform ? kRecoveryTime : 30 * kSecond);
 }
 
--- a/tests/job_soak_run.h
+++ b/tests/job_soak_run.h
@@ -24,6 +24,9 @@
   bool late_after_restart = false;
   /// Core nodes relay the leader's orders to workers.
   bool relayed_orders = false;
+  /// Operators rename, exchange, move, remove and bring back queues and teams, see
+  /// DrawnConfigurations.
+  bool changing_queues = false;
 };
 
 struct JobSoakResult {
--- a/tests/job_soak_test.cc
+++ b/tests/job_soak_test.cc
@@ -103,6 +103,16 @@
       CHECK(result.moved > 0);
     }
   }
+  SECTION("with operators that rename, move and remove queues and teams") {
+    for (std::uint64_t seed = 501; seed <= 506; ++seed) {
+      const JobSoakResult result =
+          RunJobSoak({.seed = seed, .steps = 1'000, .changing_queues = true});
+      INFO("seed " << seed << " " << JobSoakLine(result));
+      for (const std::string& violation : result.violations) UNSCOPED_INFO(violation);
+      CHECK(result.violations.empty());
+      CHECK(result.completed > 0);
+    }
+  }
   SECTION("the same seed gives the same run") {
     CHECK(JobSoakLine(RunJobSoak({.seed = 2, .steps = 150})) ==
           JobSoakLine(RunJobSoak({.seed = 2, .steps = 150})));
