Start a gang again with one checkpoint for all its tasks

Cause: the state kept a checkpoint for each task. Members of a gang that carry different ones do not work together, and each had its own, the crashed one none. Change: a checkpoint with which any task of a gang ends is kept for all of them. Ruled out: to choose one when the starts are sent. Starts of one run are sent again, also by the next leader, and must not carry another one then.

--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -45,6 +45,17 @@
   return siblings < static_cast<std::ptrdiff_t>(step.max_per_worker);
 }
 
+/// Keeps the checkpoint for the next run of the task. One of a gang is valid for all its tasks, and
+/// they run together only if all have the same one.
+void KeepCheckpoint(Job& job, const TaskId& id, const std::string& checkpoint) {
+  std::vector<Task>& tasks = job.At(id.occurrence, id.step).tasks;
+  if (!job.spec.steps[id.step].gang) {
+    tasks[id.index].checkpoint = checkpoint;
+    return;
+  }
+  for (Task& task : tasks) task.checkpoint = checkpoint;
+}
+
 [[noreturn]] void ThrowStateError(const TaskId& task, const char* what) {
   throw StateError(FormatTask(task) + ": " + what);
 }
@@ -299,7 +310,7 @@
 
 void State::ApplyCurrentEnd(Job& job, const TaskId& id, Task& task, const RecordEnd& end) {
   const Step& step = job.spec.steps[id.step];
-  if (!end.checkpoint.empty() && step.checkpoints) task.checkpoint = end.checkpoint;
+  if (!end.checkpoint.empty() && step.checkpoints) KeepCheckpoint(job, id, end.checkpoint);
   if (!job.active()) return;
   const bool done = end.kind == EndKind::kDone || task.done_by_earlier_run;
   if (step.long_running) return;
--- a/jobs/state_indexes.cc
+++ b/jobs/state_indexes.cc
@@ -46,6 +46,19 @@
   return open;
 }
 
+/// Gives the tasks of each gang the same checkpoint: earlier versions kept one for each of them.
+void ShareGangCheckpoints(Job& job) {
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    if (!job.spec.steps[i % job.spec.steps.size()].gang) continue;
+    std::vector<Task>& tasks = job.steps[i].tasks;
+    const auto known =
+        std::ranges::find_if(tasks, [](const Task& task) { return !task.checkpoint.empty(); });
+    if (known == tasks.end()) continue;
+    const std::string checkpoint = known->checkpoint;
+    for (Task& task : tasks) task.checkpoint = checkpoint;
+  }
+}
+
 }  // namespace
 
 void State::RebuildIndexes() {
@@ -60,6 +73,7 @@
   vm_orders_by_time_.clear();
   for (auto& [id, job] : jobs_) {
     LinkJob(job);
+    ShareGangCheckpoints(job);
     if (job.active() || job.assigned > 0) open_jobs_.insert(id);
     if (!job.active()) ended_jobs_.emplace(job.ended_ms, id);
     UpdateIndexes(job);
