Answer calls whose leader is lost before half of their time is over

Cause: a gateway that has sent a call to a leader cannot refuse it once that leader is lost, and held it until its time was over.

Change: a call whose leader is lost waits for the next one until 0.4 of its time is over; then a job is answered as unknown and a query as not run, both with Retry-After 1. An election usually takes 0.6 to 1 s, so most calls still reach the next leader.

--- a/control/gateway.cc
+++ b/control/gateway.cc
@@ -15,6 +15,8 @@
 /// A call without an answer is answered this long before its caller times out.
 constexpr Micros kAnswerMargin = 30 * kMillisecond;
 constexpr std::int64_t kLeaderRetryS = 1;  // an election takes about a second
+/// A call whose leader is lost waits for the next leader for this part of its time.
+constexpr double kLostLeaderPart = 0.4;
 constexpr std::size_t kMaxWaiting = 4'000;
 constexpr std::size_t kQueriedAtOnce = 2;
 
@@ -77,6 +79,7 @@
   waiting.deadline = now + event.timeout_ms * kMillisecond - kAnswerMargin;
   Send(id, waiting, out);
 }
+  waiting.arrived = now;
 
 /// Adds the term of the known leader and the time since its last answer.
 void Gateway::AddLeader(Fields& fields, Micros now) const {
@@ -192,14 +195,21 @@
 void Gateway::Expire(Micros now, Outbox& out) {
   for (auto next = calls_.begin(); next != calls_.end();) {
     const WaitingCall& waiting = next->second;
-    if (waiting.deadline > now) {
+bool Gateway::IsGivenUp(const WaitingCall& waiting, Micros now) const {
+  if (waiting.deadline <= now) return true;
+  const auto time = static_cast<double>(waiting.deadline - waiting.arrived);
+  return !HasLeader(now) && static_cast<double>(now - waiting.arrived) >= kLostLeaderPart * time;
+}
+
+    if (!IsGivenUp(waiting, now)) {
       ++next;
       continue;
     }
     Answer answer = NoLeader();
     if (ChangesState(waiting.call)) {
       answer = {.code = AnswerCode::kUnknown,
-                .text = "the leader did not answer in time; the outcome is unknown"};
+                .text = "the leader did not answer in time; the outcome is unknown",
+                .retry_after_s = kLeaderRetryS};
     }
     if (ShouldLog(waiting.call)) {
       Fields fields = Describe(waiting.call);
--- a/control/gateway.h
+++ b/control/gateway.h
@@ -44,6 +44,7 @@
   struct WaitingCall {
     std::uint64_t connection = 0;
     Call call;
+    Micros arrived = 0;
     Micros deadline = 0;
     replication::Term sent_term = 0;  // term of the leader it was last sent to; 0: not sent yet
   };
@@ -55,6 +56,9 @@
   bool IsLeaderSuspect(Micros now) const;
   void SendQuery(const std::string& address, Micros now, Outbox& out) const;
   void QueryCoreNodes(Micros now, Outbox& out);
+  /// Whether the call is given up: its time is over, or its leader is lost and the rest of its time
+  /// is better spent on another attempt of the caller.
+  bool IsGivenUp(const WaitingCall& waiting, Micros now) const;
   void Expire(Micros now, Outbox& out);
 
   GatewayOptions options_;
