Evacuate availability zones

Change: the set of evacuated zones is replicated state, ordered by an element of Configure that nodes of the former version ignore. No start is sent to an evacuated zone after the order is applied; unanswered ones are stopped. The job soak draws evacuations.

--- a/control/gateway.cc
+++ b/control/gateway.cc
@@ -48,6 +48,9 @@
   if (const auto* change = std::get_if<ConfigureCall>(&call)) {
     return {{"call", "configure"}, {"version", std::to_string(change->configuration.version)}};
   }
+  if (const auto* evacuation = std::get_if<EvacuationCall>(&call)) {
+    return {{"call", evacuation->evacuated ? "evacuate" : "take_back"}, {"zone", evacuation->zone}};
+  }
   if (const auto* wave = std::get_if<WaveCall>(&call)) {
     return {{"call", "wave"}, {"wave", std::to_string(wave->wave.wave)}};
   }
@@ -76,10 +79,10 @@
   WaitingCall& waiting = calls_[id];
   waiting.connection = event.connection;
   waiting.call = std::move(event.call);
+  waiting.arrived = now;
   waiting.deadline = now + event.timeout_ms * kMillisecond - kAnswerMargin;
   Send(id, waiting, out);
 }
-  waiting.arrived = now;
 
 /// Adds the term of the known leader and the time since its last answer.
 void Gateway::AddLeader(Fields& fields, Micros now) const {
@@ -192,15 +195,15 @@
   if (leader_suspect) QueryCoreNodes(now, out);
 }
 
-void Gateway::Expire(Micros now, Outbox& out) {
-  for (auto next = calls_.begin(); next != calls_.end();) {
-    const WaitingCall& waiting = next->second;
 bool Gateway::IsGivenUp(const WaitingCall& waiting, Micros now) const {
   if (waiting.deadline <= now) return true;
   const auto time = static_cast<double>(waiting.deadline - waiting.arrived);
   return !HasLeader(now) && static_cast<double>(now - waiting.arrived) >= kLostLeaderPart * time;
 }
 
+void Gateway::Expire(Micros now, Outbox& out) {
+  for (auto next = calls_.begin(); next != calls_.end();) {
+    const WaitingCall& waiting = next->second;
     if (!IsGivenUp(waiting, now)) {
       ++next;
       continue;
--- a/control/leader.cc
+++ b/control/leader.cc
@@ -72,11 +72,8 @@
       maintenance_(options_.maintenance, state, fleet_, orders_, planner_,
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, orders_, maintenance_, planner_, demand_),
-      wait_report_(state, fleet_, [this] {
-        std::unordered_set<std::string_view> vms = CordonedVms();
-        pools_.AddLeavingVms(vms);
-        return vms;
-      }) {}
+      wait_report_(state, fleet_, [this] { return WithheldVms(); }),
+      zone_drain_(state, fleet_, [this] { return WithheldVms(); }) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
   term_ = term;
@@ -118,6 +115,7 @@
   proposals_.push_back({.command = std::move(command),
                         .has_requester = true,
                         .requester = {.id = request.id, .address = request.reply_address}});
+  zone_drain_.BeginTerm(out);
 }
 
 std::vector<std::string> Leader::TakeProposals() {
@@ -131,6 +129,7 @@
   std::uint64_t index = first_index;
   for (Proposal& proposal : proposals_) {
     if (proposal.has_requester) requesters_[index] = std::move(proposal.requester);
+  zone_drain_.EndTerm(out);
     ++index;
   }
   proposals_.clear();
@@ -174,7 +173,10 @@
   if (const auto* end = std::get_if<RecordEnd>(&command)) StopEndedJob(end->task.job, now, out);
   if (const auto* assign = std::get_if<Assign>(&command)) StopEndedJob(assign->task.job, now, out);
   if (applied.ended != nullptr) LogEnd(*applied.ended, command, out);
-  if (const auto* change = std::get_if<Configure>(&command)) {
+  const auto* change = std::get_if<Configure>(&command);
+  if (change != nullptr && change->is_zone_order()) {
+    zone_drain_.OnOrder(change->zone_order, out);
+  } else if (change != nullptr) {
     out.Log("configuration_applied",
             {{"version", std::to_string(change->configuration.version)},
              {"in_force", std::to_string(state_.configuration().version)}});
@@ -189,7 +191,8 @@
   if (const auto* cancel = std::get_if<Cancel>(&command)) planner_.OnJobChanged(cancel->job);
   if (const auto* assign = std::get_if<Assign>(&command)) planner_.OnStartApplied(*assign);
   if (const auto* end = std::get_if<RecordEnd>(&command)) planner_.OnJobChanged(end->task.job);
-  if (std::holds_alternative<Configure>(command)) planner_.RankAll();
+  const auto* change = std::get_if<Configure>(&command);
+  if (change != nullptr && !change->is_zone_order()) planner_.RankAll();
 }
 
 void Leader::UpdateRunTimeEstimate(const RecordEnd& end, Micros now) {
@@ -285,6 +288,7 @@
   out.Count("records_scanned_total", static_cast<double>(scanned));
   CompareRuns(out);
   // A warning in severity only: such lines have a quota of their own, so that routine ones do not
+  zone_drain_.Tick(now, wall, out);
   // displace them when the leader is overloaded.
   Fields fields{{"open_jobs", std::to_string(state_.open_job_count())},
                 {"startable_jobs", std::to_string(state_.startable_job_count())},
@@ -358,6 +362,12 @@
                                   .wall_ms = wall,
                                   .now = now,
                                   .max_starts = max_starts,
+std::unordered_set<std::string_view> Leader::WithheldVms() const {
+  std::unordered_set<std::string_view> vms = CordonedVms();
+  pools_.AddLeavingVms(vms);
+  return vms;
+}
+
                                   .knows_workers = fleet_.KnowsWorkers(now)});
   pace_.OnPlan(plan.full ? PlanEnd::kFull : PlanEnd::kComplete, now, out);
   // What did not fit into this plan comes with the next one, without a further event.
--- a/control/leader.h
+++ b/control/leader.h
@@ -19,6 +19,7 @@
 #include "control/wait_report.h"
 #include "control/worker_fleet.h"
 #include "jobs/planner.h"
+#include "control/zone_drain.h"
 #include "jobs/state.h"
 
 namespace godwitpaddle::jobs {
@@ -33,6 +34,8 @@
   MaintenanceOptions maintenance;
   PoolScalerOptions pools;
   std::size_t max_spec_bytes = 4'000;  // limit of a job's payload
+  /// The availability zones of the deployment, beside those from which workers report.
+  std::vector<std::string> zones;
   std::size_t max_tasks = 20'000;      // limit of one job, over all steps and occurrences
 };
 
@@ -119,6 +122,9 @@
               Outbox& out);
   /// Whether an earlier leader may have accepted the job of this call, under a configuration that
   /// had the queue and the key: then a refusal would not be true.
+  void Handle(const EvacuationCall& call, const CallRequest& request, Micros now, WallMs wall,
+              Outbox& out);
+  bool IsKnownZone(const std::string& zone) const;
   bool MayBeAccepted(const JobCall& call, const CallRequest& request) const;
   void OnSubmit(const JobCall& call, const Queue& queue, JobId job, const CallRequest& request,
                 WallMs wall, Outbox& out);
@@ -152,6 +158,8 @@
   template <typename Section>
   void Measure(const char* metric, Outbox& out, const Section& section) const;
   /// Logs the backlog and the cost of the last period, once each period.
+  /// Returns these VMs and those that are to be moved once they have no tasks.
+  std::unordered_set<std::string_view> WithheldVms() const;
   void LogLoad(Micros now, Outbox& out);
 
   LeaderOptions options_;
@@ -171,6 +179,7 @@
   std::deque<HeldCall> held_calls_;                // in the order of their arrival
   Micros call_waited_ = 0;                         // of the call that is handled
   PlanPace pace_;
+  ZoneDrain zone_drain_;
   bool plan_due_ = false;
   Micros next_plan_ = 0;
   Micros next_fleet_tick_ = 0;
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -281,3 +281,26 @@
 }
 
 }  // namespace godwitpaddle::jobs
+bool Leader::IsKnownZone(const std::string& zone) const {
+  if (std::ranges::find(options_.zones, zone) != options_.zones.end()) return true;
+  return std::ranges::any_of(state_.workers(),
+                             [&](const auto& entry) { return entry.second.record.zone == zone; });
+}
+
+/// An order is proposed even if the zone is already as ordered: an earlier order that is not
+/// applied yet may change that.
+void Leader::Handle(const EvacuationCall& call, const CallRequest& request, Micros /*now*/,
+                    WallMs wall, Outbox& out) {
+  const bool known = IsKnownZone(call.zone) || state_.IsEvacuated(call.zone);
+  out.Log("evacuation_received", {{"zone", call.zone},
+                                  {"evacuate", call.evacuated ? "true" : "false"},
+                                  {"known", known ? "true" : "false"}});
+  if (!known) {
+    return Reply(RequesterOf(request),
+                 MakeRefusal(AnswerCode::kInvalid, "no such availability zone"), out);
+  }
+  ProposeFor(
+      Configure{.zone_order = {.zone = call.zone, .evacuated = call.evacuated, .wall_ms = wall}},
+      request);
+}
+
--- a/control/maintenance.cc
+++ b/control/maintenance.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "control/availability.h"
+
 namespace godwitpaddle::jobs {
 namespace {
 
@@ -112,25 +114,13 @@
   active_[vm] = {.wave = id, .worker = worker == nullptr ? "" : worker->record.id, .since = now};
 }
 
-bool Maintenance::MayStop(const TaskId& task) const {
-  const Job& job = *state_.FindJob(task.job);
-  const Step& step = job.spec.steps[task.step];
-  if (step.max_unavailable == 0 || !job.active()) return true;
-  const StepRun& run = job.At(task.occurrence, task.step);
-  std::uint32_t unavailable = 0;
-  for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-    const TaskId other{task.job, task.occurrence, task.step, index};
-    if (index != task.index && !fleet_.RunsAtFullSpeed(other)) ++unavailable;
-  }
-  return unavailable < step.max_unavailable;
-}
-
 void Maintenance::MoveLongRunningTasks(const WorkerId& id, Micros now, Outbox& out) {
   const Worker* worker = state_.FindWorker(id);
   if (worker == nullptr) return;
   for (const TaskId& task : worker->tasks) {
     const Step& step = state_.FindJob(task.job)->spec.steps[task.step];
-    if (step.long_running && MayStop(task)) fleet_.Stop(task, now, out);
+    const bool may_stop = step.long_running && MayInterrupt(state_, fleet_, task);
+    if (may_stop) fleet_.Stop(task, now, out);
   }
 }
 
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -70,8 +70,6 @@
   bool HasReturned(const VmId& vm, const VmMaintenance& work, Micros now) const;
   void ReleaseReturned(Micros now);
   void MoveLongRunningTasks(const WorkerId& worker, Micros now, Outbox& out);
-  /// Whether the task may be stopped within its step's `max_unavailable`.
-  bool MayStop(const TaskId& task) const;
   /// The newest worker on the VM; null if there is none.
   const Worker* WorkerOn(const VmId& vm) const;
   /// Counts the VMs of each wave that are down or ordered to be.
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -165,7 +165,7 @@
   AddStandby(pools);
   for (const auto& [vm, moving] : moving_) {
     const auto pool = pools.find(moving.to);
-    if (pool != pools.end()) ++pool->second.vms;
+    if (pool != pools.end() && !IsInEvacuatedZone(vm)) ++pool->second.vms;
   }
   const std::map<std::string, double> open = state_.OpenCoreMs();
   std::vector<Pool> described;
@@ -185,6 +185,7 @@
 }
 
 void PoolScaler::TrackLongRunningWaits(Micros now, WallMs wall) {
+  AddEvacuatedWorkers(pools, now);
   std::map<TaskId, Micros> waits;
   const auto track_step = [&](const Job& job, std::uint32_t occurrence, std::uint32_t step) {
     const StepRun& run = job.At(occurrence, step);
@@ -289,7 +290,7 @@
 void PoolScaler::AddStandby(std::map<std::string, Pool>& pools) const {
   for (const auto& [vm, name] : standby_vms_) {
     const auto pool = pools.find(name);
-    if (pool == pools.end() || moving_.contains(vm)) continue;
+    if (pool == pools.end() || moving_.contains(vm) || IsInEvacuatedZone(vm)) continue;
     ++pool->second.vms;
     if (!orders_.IsClaimed(vm) && orders_.MayOrder(vm)) pool->second.movable.push_back({.vm = vm});
   }
@@ -301,6 +302,7 @@
   out.Count("vm_moves_total");
   orders_.Claim(move.vm);
   orders_.Order(move.vm, MoveVm{.vm = move.vm, .pool = move.to},
+      if (state_.IsEvacuated(record.zone)) continue;
                 [this, vm = move.vm](VmOutcome outcome, Micros then, WallMs /*wall*/,
                                      Outbox& reply) { OnOutcome(vm, outcome, then, reply); });
 }
@@ -320,3 +322,44 @@
 }
 
 }  // namespace godwitpaddle::jobs
+bool PoolScaler::IsInEvacuatedZone(const VmId& vm) const {
+  if (state_.evacuated_zones().empty()) return false;
+  const auto found = orders_.vms().find(vm);
+  return found != orders_.vms().end() && state_.IsEvacuated(found->second.zone);
+}
+
+void PoolScaler::AddEvacuatedWorkers(std::map<std::string, Pool>& pools, Micros now) const {
+  if (state_.evacuated_zones().empty()) return;
+  for (auto& [name, pool] : pools) {
+    for (const ObservedWorker& one : fleet_.WorkersOf(name, now)) {
+      if (one.obstacle != WorkerObstacle::kEvacuated) continue;
+      const Worker& worker = *one.worker;
+      const Resources& capacity = worker.record.capacity;
+      const double cores = static_cast<double>(capacity.cpu) / kMillicores;
+      pool.vm_cores = std::max(pool.vm_cores, cores);
+      if (worker.long_running_tasks == 0) continue;
+      pool.needed_cores += InVms(worker.long_running_used, capacity) * cores;
+    }
+  }
+}
+
+void PoolScaler::AddSwitchOffs(std::vector<PoolMove>& moves, Micros now, WallMs wall) const {
+  if (state_.evacuated_zones().empty()) return;
+  const auto& services = state_.configuration().services;
+  const auto standby = std::ranges::find_if(services, &Service::standby);
+  if (standby == services.end()) return;
+  for (const Service& service : services) {
+    if (service.standby) continue;
+    for (const ObservedWorker& one : fleet_.WorkersOf(service.name, now)) {
+      if (one.obstacle != WorkerObstacle::kEvacuated) continue;
+      const WorkerRecord& record = one.worker->record;
+      const auto zone = state_.evacuated_zones().find(record.zone);
+      const bool lasts = (wall - zone->second) * kMillisecond >= options_.plan.surplus_delay;
+      const bool may_move = !record.vm.empty() && !moving_.contains(record.vm) &&
+                            !orders_.IsClaimed(record.vm) && orders_.MayOrder(record.vm);
+      if (!lasts || !may_move || IsBusy(record.vm)) continue;
+      moves.push_back({.vm = record.vm, .from = service.name, .to = standby->name});
+    }
+  }
+}
+
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -77,6 +77,15 @@
   std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
   void AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
   void FinishMoves(Micros now);
+  /// Counts the room that the long-running tasks of evacuated zones will need in other zones.
+  void AddEvacuatedWorkers(std::map<std::string, Pool>& pools, Micros now) const;
+  /// Whether the VM is in an evacuated zone, as far as is known.
+  bool IsInEvacuatedZone(const VmId& vm) const;
+  /// Appends moves to a standby pool for the VMs of zones that have been evacuated for a while and
+  /// that run nothing.
+  void AddSwitchOffs(std::vector<PoolMove>& moves, Micros now, WallMs wall) const;
+  /// Notes what room each service has and is to have.
+  void UpdateOutlooks(const std::vector<Pool>& pools);
   /// Whether a worker on the VM has tasks.
   bool IsBusy(const VmId& vm) const;
   bool HasArrived(const VmId& vm, const VmMove& move) const;
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -347,6 +347,13 @@
 }
 
 WorkerObstacle WorkerFleet::ObstacleOf(const WorkerView& view, Micros now) const {
+  const WorkerObstacle own = OwnObstacleOf(view, now);
+  const bool evacuated =
+      own == WorkerObstacle::kNone && state_.IsEvacuated(view.known->record.zone);
+  return evacuated ? WorkerObstacle::kEvacuated : own;
+}
+
+WorkerObstacle WorkerFleet::OwnObstacleOf(const WorkerView& view, Micros now) const {
   const Micros max_silence =
       kMissedHeartbeats * options_.heartbeat_ms * kMillisecond + kHeartbeatSlack;
   if (view.known->record.phase != WorkerPhase::kReady) return WorkerObstacle::kDraining;
@@ -391,8 +398,8 @@
     view->runs_due = 0;
     Run& run = view->runs[assign->task];
     run = {.run = assign->run, .phase = RunPhase::kStarting};
-    const bool ready = state_.FindWorker(assign->worker)->record.phase == WorkerPhase::kReady;
-    if (view->confirmed && ready && !view->expected_down) {
+    const bool accepts = AcceptsStarts(state_.FindWorker(assign->worker)->record);
+    if (view->confirmed && accepts && !view->expected_down) {
       SendStart(assign->worker, *view, assign->task, run, now, out);
     } else {
       Conclude(assign->worker, *view, assign->task, run, Conclusion::kNeverSent, wall, out);
@@ -421,6 +428,8 @@
       ResetIncarnation(view, update->record, now);
       view.suspect = false;
     }
+  } else if (const auto* change = std::get_if<Configure>(&command)) {
+    if (change->is_zone_order()) OnZoneOrder(change->zone_order);
   } else if (const auto* removal = std::get_if<RemoveWorker>(&command)) {
     if (outcome != ApplyOutcome::kApplied) return;
     LogRemovedWorker(*removal, out);
@@ -428,6 +437,16 @@
   }
 }
 
+/// Has the workers of the zone examined: starts that no worker has answered are stopped instead of
+/// being sent again.
+void WorkerFleet::OnZoneOrder(const ZoneOrder& order) {
+  for (auto& [id, view] : views_) {
+    if (view.known->record.zone != order.zone) continue;
+    view.runs_due = 0;
+    Touch(view);
+  }
+}
+
 void WorkerFleet::LogIncarnation(const WorkerRecord& record, const WorkerView& previous,
                                  Outbox& out) {
   out.Log("worker_incarnation",
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -32,9 +32,11 @@
   kUnconfirmed,   // its run lists have not arrived since its incarnation was last in doubt
   kBackoff,       // it refused or failed runs shortly before
   kCordoned,      // its VM is to be moved or maintained
+  kEvacuated,     // nothing else, but its availability zone is evacuated
 };
-inline constexpr EnumNames<7> kWorkerObstacleNames = {
-    "none", "draining", "expected_down", "silent", "unconfirmed", "backoff", "cordoned"};
+inline constexpr EnumNames<8> kWorkerObstacleNames = {"none",     "draining",    "expected_down",
+                                                      "silent",   "unconfirmed", "backoff",
+                                                      "cordoned", "evacuated"};
 
 /// A task that the state has assigned to a worker in another run than the leader knows there.
 struct RunMismatch {
@@ -249,6 +251,13 @@
   /// Returns the time at which the worker has to be examined if no event concerns it before.
   Micros NextTick(const WorkerView& view, Micros now) const;
   WorkerObstacle ObstacleOf(const WorkerView& view, Micros now) const;
+  /// Returns what keeps the worker from getting tasks, apart from an evacuation of its zone.
+  WorkerObstacle OwnObstacleOf(const WorkerView& view, Micros now) const;
+  /// Whether runs may be started on the worker, as far as its phase and its zone are concerned.
+  bool AcceptsStarts(const WorkerRecord& record) const {
+    return record.phase == WorkerPhase::kReady && !state_.IsEvacuated(record.zone);
+  }
+  void OnZoneOrder(const ZoneOrder& order);
   bool IsUsable(const WorkerView& view, Micros now) const {
     return ObstacleOf(view, now) == WorkerObstacle::kNone;
   }
@@ -323,7 +332,7 @@
   /// Whether a lease renewal is to be sent once its time has come.
   static bool WantsRenewal(const WorkerView& view);
   /// Sends the starts and stops that are due.
-  void TickRuns(const WorkerId& worker, WorkerView& view, bool ready, Micros now, Outbox& out);
+  void TickRuns(const WorkerId& worker, WorkerView& view, Micros now, Outbox& out);
   /// Returns the time of the run's next start or stop; kNever if it only waits for the worker.
   static Micros NextSend(const WorkerView& view, const Run& run);
   void CountEnd(WorkerView& view, EndKind kind, Micros now);
--- a/control/worker_schedule.cc
+++ b/control/worker_schedule.cc
@@ -140,19 +140,20 @@
     view.last_heard = now;  // delays the next proposal
     return;
   }
-  TickRuns(worker, view, known.record.phase == WorkerPhase::kReady, now, out);
+  TickRuns(worker, view, now, out);
   if (WantsRenewal(view) && now >= view.next_renewal_at) SendLeaseRenewal(worker, view, now, out);
 }
 
-void WorkerFleet::TickRuns(const WorkerId& worker, WorkerView& view, bool ready, Micros now,
-                           Outbox& out) {
+void WorkerFleet::TickRuns(const WorkerId& worker, WorkerView& view, Micros now, Outbox& out) {
   if (now < view.runs_due) return;
   view.runs_due = kNever;
+  const bool accepts = AcceptsStarts(view.known->record);
   const bool has_room = view.known->used.FitsInto(view.known->record.capacity);
   for (auto& [task, run] : view.runs) {
     if (run.end_proposed) continue;
-    // A worker that drains, or that has shrunk below what it runs, starts no more runs.
-    if (!(ready && has_room) && run.phase == RunPhase::kStarting && !run.start_in_flight) {
+    // A worker that drains, that is in an evacuated zone, or that has shrunk below what it runs,
+    // starts no more runs.
+    if (!(accepts && has_room) && run.phase == RunPhase::kStarting && !run.start_in_flight) {
       run.stop_wanted = true;
     }
     if (now >= NextSend(view, run)) {
--- a/daemon/fleet_process.cc
+++ b/daemon/fleet_process.cc
@@ -65,7 +65,9 @@
                                    .orders_per_s = settings.vm_orders_per_s},
                      .maintenance = {.maintenance_ms =
                                          static_cast<std::int64_t>(timing.maintenance_s * 1'000)},
-                     .pools = {.move_ms = static_cast<std::int64_t>(timing.move_s * 1'000)}}};
+                     .pools = {.move_ms = static_cast<std::int64_t>(timing.move_s * 1'000)},
+                     .zones = settings.zones,
+                     .far_factor = timing.far_factor}};
 }
 
 DataFolderOptions MakeDataFolderOptions(const FleetSettings& settings) {
--- a/daemon/fleet_settings.cc
+++ b/daemon/fleet_settings.cc
@@ -78,6 +78,10 @@
   if (const Json* forms = reader.Find("forms_group")) {
     if (!forms->is_boolean()) throw SettingsError("forms_group must be true or false");
     settings.forms_group = forms->get<bool>();
+  if (const Json* zones = reader.Find("zones")) {
+    if (!zones->is_array()) throw SettingsError("zones must be a list of names");
+    for (const Json& zone : *zones) settings.zones.push_back(ObjectReader::AsText(zone, "zones"));
+  }
   }
   reader.Optional("data_folder", settings.data_folder);
   settings.client_address = OptionalAddress(reader, "client_address");
--- a/daemon/fleet_settings.h
+++ b/daemon/fleet_settings.h
@@ -31,6 +31,7 @@
   std::string ip;
   std::int64_t first_port = 0;     // peers connect to this port; the next port serves metrics
   std::vector<std::string> seeds;  // addresses of core nodes; their ports are ignored
+  std::vector<std::string> zones;  // the availability zones of the deployment; empty: not told
   bool forms_group = false;        // first start: seeds with empty data folders form the group
   std::string data_folder;         // required for a core node
   std::string client_address;      // calls of clients; required for an edge node
--- a/jobs/calls.h
+++ b/jobs/calls.h
@@ -52,6 +52,13 @@
   MSGPACK_DEFINE(unused)
 };
 
+/// Keeps tasks out of an availability zone, or takes the zone back into use.
+struct EvacuationCall {
+  std::string zone;
+  bool evacuated = false;
+  MSGPACK_DEFINE(zone, evacuated)
+};
+
 /// Starts a maintenance wave.
 struct WaveCall {
   StartWave wave;
@@ -65,7 +72,7 @@
 };
 
 using Call = std::variant<JobCall, HeartbeatCall, LeaveCall, ConfigureCall, ReadConfigurationCall,
-                          WaveCall, WaveQueryCall>;
+                          WaveCall, WaveQueryCall, EvacuationCall>;
 
 enum class AnswerCode : std::uint8_t {
   kOk,
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -11,10 +11,23 @@
 /// Commands of the replicated log. Every core node applies them in the order of the log.
 namespace godwitpaddle::jobs {
 
+/// An operator's order about an availability zone.
+struct ZoneOrder {
+  std::string zone;        // empty: no order
+  bool evacuated = false;  // whether tasks are kept out of the zone from now on
+  std::int64_t wall_ms = 0;
+  MSGPACK_DEFINE(zone, evacuated, wall_ms)
+};
+
 /// Puts a configuration in force, unless one of the same or a higher version is in force already.
+/// With a `zone_order`, carries out that order instead; the configuration is then empty. Nodes of
+/// earlier versions do not read the order, and ignore an empty configuration, whose version is 0.
 struct Configure {
   Configuration configuration;
-  MSGPACK_DEFINE(configuration)
+  ZoneOrder zone_order;
+  MSGPACK_DEFINE(configuration, zone_order)
+
+  bool is_zone_order() const { return !zone_order.zone.empty(); }
 };
 
 /// Accepts a job if the key that the client sent with it is valid. The leader proposes it against
--- a/jobs/orders.h
+++ b/jobs/orders.h
@@ -137,6 +137,7 @@
 struct VmRecord {
   VmId vm;
   std::string pool;
+  std::string zone;
   VmPhase phase = VmPhase::kUp;
   std::vector<std::string> labels;
   Resources capacity;
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -93,7 +93,8 @@
 
 std::string State::Encode() const {
   return godwitpaddle::Encode(Snapshot(configuration_, jobs_, workers_, waves_, vm_orders_,
-                                       newest_wall_ms_, queues_.Store(), teams_.Store()));
+                                       newest_wall_ms_, queues_.Store(), teams_.Store(),
+                                       evacuated_zones_));
 }
 
 void State::Decode(const std::string& bytes) {
@@ -101,8 +102,8 @@
   if (!bytes.empty()) image = godwitpaddle::Decode<Snapshot>(bytes);
   KnownQueues::Stored queues;
   KnownTeams::Stored teams;
-  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues, teams) =
-      std::move(image);
+  std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues, teams,
+           evacuated_zones_) = std::move(image);
   queues_.Restore(std::move(queues));
   const bool has_teams = !teams.teams.empty();
   teams_.Restore(std::move(teams));
@@ -151,6 +152,10 @@
 }
 
 ApplyOutcome State::ApplyOne(const Configure& command) {
+  if (command.is_zone_order()) {
+    ApplyZoneOrder(command.zone_order);
+    return ApplyOutcome::kApplied;
+  }
   if (command.configuration.version > configuration_.version) {
     configuration_ = command.configuration;
     queues_.Configure(configuration_);
@@ -159,6 +164,14 @@
   return ApplyOutcome::kApplied;
 }
 
+void State::ApplyZoneOrder(const ZoneOrder& order) {
+  if (order.evacuated) {
+    evacuated_zones_.try_emplace(order.zone, order.wall_ms);
+  } else {
+    evacuated_zones_.erase(order.zone);
+  }
+}
+
 const Queue* State::FindQueueOf(const Submit& command) const {
   const bool placed = !command.host.empty() || !command.prefix.empty();
   return placed ? FindQueueAt(configuration_, command.host, command.prefix)
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -254,6 +254,9 @@
 
  private:
   /// Counts the records of the collection as scanned.
+  /// The zones that tasks are kept out of, with the Unix time of the order.
+  const std::map<std::string, std::int64_t>& evacuated_zones() const { return evacuated_zones_; }
+  bool IsEvacuated(const std::string& zone) const { return evacuated_zones_.contains(zone); }
   template <typename Collection>
   const Collection& Scan(const Collection& collection) const {
     scanned_ += collection.size();
@@ -273,6 +276,7 @@
 
   bool MayStart(const Job& job, const TaskId& id, const Worker& worker) const;
   Task* MutableTask(const TaskId& id);
+  void ApplyZoneOrder(const ZoneOrder& order);
   void Unassign(Job& job, const TaskId& id, Task& task);
   void ApplyCurrentEnd(Job& job, const TaskId& id, Task& task, const RecordEnd& end);
   /// Applies the end of an abandoned run that its worker has reported afterwards.
@@ -327,6 +331,7 @@
   mutable std::uint64_t scanned_ = 0;
 };
 
+  std::map<std::string, std::int64_t> evacuated_zones_;
 }  // namespace godwitpaddle::jobs
 
 MSGPACK_ADD_ENUM(godwitpaddle::jobs::TaskPhase)
--- a/tests/job_cluster.cc
+++ b/tests/job_cluster.cc
@@ -303,17 +303,21 @@
                                   jobs::VmId vm) {
   const std::uint64_t number = next_worker_++;
   const jobs::WorkerId id = "worker-" + std::to_string(number);
+  if (vm.empty()) vm = "vm-" + std::to_string(number);
+  Vm& host = vms_[vm];
+  if (host.zone.empty()) host.zone = "zone-" + std::to_string(number % 3);
   jobs::WorkerRecord record{.id = id,
                             .incarnation_ms = wall(),
                             .address = id,
                             .service = service,
-                            .vm = vm.empty() ? "vm-" + std::to_string(number) : std::move(vm),
+                            .zone = host.zone,
+                            .vm = std::move(vm),
                             .labels = {"a", "rack-" + std::to_string(number % 3)},
                             .capacity = capacity};
   FakeWorker& worker = workers_.emplace(id, FakeWorker(std::move(record), now_)).first->second;
   worker.clock_rate = 0.98 + 0.02 * UniformUnit(rng_);
   worker.done_tasks = &ended_done_;
-  vms_[worker.record().vm] = {.pool = service, .capacity = capacity, .worker = id};
+  host = {.pool = service, .zone = host.zone, .capacity = capacity, .worker = id};
   ScheduleHeartbeat(id);
   return worker;
 }
@@ -492,6 +496,11 @@
     AddViolation(task +
                  " is sent over a second after its job was reported as completed or cancelled");
   }
+  const auto zone = closed_zones.find(worker.record().zone);
+  if (zone != closed_zones.end() && transit.sent > zone->second) {
+    AddViolation(task + " is sent to " + worker.record().id + " in " + zone->first +
+                 ", which is evacuated");
+  }
   starts_[order.task][order.run] = now_;
 }
 
@@ -517,6 +526,7 @@
       if (!worker.alive) continue;
       reply.vms.push_back({.vm = worker.record().vm,
                            .pool = worker.record().service,
+                           .zone = worker.record().zone,
                            .capacity = worker.record().capacity,
                            .worker = id});
     }
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -126,7 +126,8 @@
   jobs::Answer CallAndWait(std::size_t node, jobs::Call call, std::int64_t timeout_ms = 3'000);
 
   // Workers.
-  /// Adds a worker on the given VM, or on a VM of its own if `vm` is empty.
+  /// Adds a worker on the given VM, or on a VM of its own if `vm` is empty. VMs of their own are
+  /// in the zones "zone-1", "zone-2" and "zone-0" in turn, as their workers are in the racks.
   FakeWorker& AddWorker(const std::string& service, jobs::Resources capacity, jobs::VmId vm = {});
   std::map<jobs::WorkerId, FakeWorker>& workers() { return workers_; }
   void CrashWorker(const jobs::WorkerId& id);
@@ -143,7 +144,7 @@
   /// Changes the capacity that the worker reports.
   void ResizeWorker(const jobs::WorkerId& id, jobs::Resources capacity);
   /// Adds a VM of a standby pool; takes effect only with model_vms.
-  void AddStandbyVm(const std::string& pool, jobs::Resources capacity);
+  void AddStandbyVm(const std::string& pool, jobs::Resources capacity, std::string zone = {});
   /// Records that a client received the answer that the job is cancelled or completed.
   void RecordJobClosed(jobs::JobId job) { closed_jobs_.try_emplace(job, now_); }
   /// Number of workers that crashed under the task. A task whose job's payload ends with "deadly"
@@ -156,6 +157,8 @@
   std::vector<std::string> maintained;  // maintained VMs, in order
   /// Most VMs of each wave that may be down at once; checked at each maintenance.
   std::map<jobs::WaveId, std::size_t> wave_bounds;
+  /// Zones for which starts must not be sent any more, with the time since which.
+  std::map<std::string, Micros> closed_zones;
   std::uint64_t power_losses = 0;
 
   std::vector<std::string> violations;
@@ -192,6 +195,7 @@
   /// A VM as the platform sees it.
   struct Vm {
     std::string pool;
+    std::string zone;
     jobs::Resources capacity;
     jobs::WorkerId worker;  // newest worker on the VM
     jobs::VmPhase phase = jobs::VmPhase::kUp;
--- a/tests/job_cluster_faults.cc
+++ b/tests/job_cluster_faults.cc
@@ -185,8 +185,9 @@
 
 // ---- the VM service ----
 
-void JobCluster::AddStandbyVm(const std::string& pool, jobs::Resources capacity) {
-  vms_["vm-parked-" + std::to_string(vms_.size())] = {.pool = pool, .capacity = capacity};
+void JobCluster::AddStandbyVm(const std::string& pool, jobs::Resources capacity, std::string zone) {
+  const std::string number = std::to_string(vms_.size());
+  vms_["vm-parked-" + number] = {.pool = pool, .zone = std::move(zone), .capacity = capacity};
 }
 
 void JobCluster::ExecuteVmOrder(std::size_t node, std::uint64_t incarnation,
@@ -246,6 +247,7 @@
   for (const auto& [name, vm] : vms_) {
     reply.vms.push_back({.vm = name,
                          .pool = vm.pool,
+                         .zone = vm.zone,
                          .phase = vm.phase,
                          .capacity = vm.capacity,
                          .worker = vm.worker});
--- a/tests/job_soak.cc
+++ b/tests/job_soak.cc
@@ -7,8 +7,9 @@
 
 // Soak test of job control: job_soak [--seed FIRST] [--seeds COUNT] [--steps N]
 // [--waves-and-power] [--full-platform] [--late-after-restart] [--relayed-orders]
-// [--changing-queues]. Prints one line of totals for each seed. For a seed with violations it also
-// prints these and the nodes' last log lines, and exits with 1 at the end.
+// [--changing-queues] [--evacuations] [--crowds]. Prints one line of totals for each seed. For a
+// seed with violations it also prints these and the nodes' last log lines, and exits with 1 at the
+// end.
 int main(int argc, const char** argv) {
   int first = 1;
   int count = 1;
@@ -18,6 +19,8 @@
   int late_after_restart = 0;
   int relayed_orders = 0;
   int changing_queues = 0;
+  int evacuations = 0;
+  int crowds = 0;
   const poptOption options[] = {
       {"seed", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
       {"seeds", 0, POPT_ARG_INT, &count, 0, "number of seeds", "N"},
@@ -33,6 +36,9 @@
        "core nodes relay the leader's orders to workers", nullptr},
       {"changing-queues", 0, POPT_ARG_NONE, &changing_queues, 0,
        "operators rename, move and remove queues and teams", nullptr},
+      {"evacuations", 0, POPT_ARG_NONE, &evacuations, 0,
+       "operators evacuate availability zones and take them back", nullptr},
+      {"crowds", 0, POPT_ARG_NONE, &crowds, 0, "clients send many jobs at once", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   const poptContext context =
       poptGetContext(nullptr, argc, argv, static_cast<const poptOption*>(options), 0);
@@ -51,7 +57,9 @@
                                            .full_platform = full_platform != 0,
                                            .late_after_restart = late_after_restart != 0,
                                            .relayed_orders = relayed_orders != 0,
-                                           .changing_queues = changing_queues != 0});
+                                           .changing_queues = changing_queues != 0,
+                                           .evacuations = evacuations != 0,
+                                           .crowds = crowds != 0});
     std::cout << "seed=" << seed << " " << godwitpaddle::testing::JobSoakLine(result) << std::endl;
     if (result.violations.empty()) continue;
     ++failed;
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -30,6 +30,12 @@
 constexpr std::size_t kFirstCopyWorker = 5;
 constexpr std::size_t kStandbyVms = 3;
 constexpr std::uint64_t kStepsPerService = 70;  // load alternates between the services
+constexpr std::uint64_t kStepsPerZoneOrder = 40;
+constexpr std::uint64_t kZones = 3;
+constexpr std::uint64_t kStepsPerCrowd = 150;
+constexpr std::uint64_t kCrowd = 300;  // jobs
+/// No crowd comes in these last steps, so that its jobs end before the final checks.
+constexpr std::uint64_t kFinalStepsWithoutCrowds = 300;
 /// No wave starts in these last steps of a full-platform run.
 constexpr std::uint64_t kFinalStepsWithoutWaves = 300;
 constexpr Micros kMaxFaultChange = 5 * kSecond;
@@ -70,6 +76,13 @@
   void CompleteConfiguration();
   void ReadConfiguration();
   void StartWave();
+  /// Evacuates a random zone, or takes it back if it is evacuated, and retries until the order is
+  /// acknowledged, as operators do.
+  void ChangeZone();
+  void SubmitCrowd();
+  void OrderZone(const std::string& zone, bool evacuated);
+  /// Checks that the zones that were acknowledged as evacuated still are, and takes them back.
+  void EndEvacuations();
   void CheckWaves();
   void SlowDisks();
   void InjectPlatformFault();
@@ -342,6 +355,38 @@
   }
 }
 
+void Soak::OrderZone(const std::string& zone, bool evacuated) {
+  const jobs::EvacuationCall call{.zone = zone, .evacuated = evacuated};
+  if (!evacuated) cluster_.closed_zones.erase(zone);
+  while (cluster_.CallAndWait(RandomBelow(cluster_.cores()), call).code != AnswerCode::kOk) {
+    cluster_.RunFor(200 * kMillisecond);
+  }
+  if (evacuated) cluster_.closed_zones[zone] = cluster_.now();
+}
+
+void Soak::ChangeZone() {
+  const std::string zone = "zone-" + std::to_string(RandomBelow(kZones));
+  OrderZone(zone, !cluster_.closed_zones.contains(zone));
+}
+
+void Soak::SubmitCrowd() {
+  for (std::uint64_t i = 0; i < kCrowd; ++i) {
+    ++last_job_;
+    ChooseOrigin(last_job_);
+    Submit(last_job_);
+  }
+}
+
+void Soak::EndEvacuations() {
+  const auto leader = cluster_.Leader();
+  for (const auto& [zone, since] : std::map(cluster_.closed_zones)) {
+    if (leader && !cluster_.state(*leader).IsEvacuated(zone)) {
+      cluster_.AddViolation(zone + " was acknowledged as evacuated and is not");
+    }
+    OrderZone(zone, false);
+  }
+}
+
 void Soak::CheckWaves() {
   for (jobs::WaveId wave = 1; wave <= last_wave_; ++wave) {
     const std::string phase = cluster_.CallAndWait(0, jobs::WaveQueryCall{.wave = wave}).text;
@@ -563,6 +608,7 @@
     if (!worker.alive) cluster_.RestartWorker(id);
   }
   if (options_.changing_queues) CompleteConfiguration();
+  if (options_.evacuations) EndEvacuations();
   cluster_.RunFor(options_.full_platform ? kRecoveryTime : 30 * kSecond);
 }
 
@@ -598,6 +644,10 @@
         options_.full_platform && step_ + kFinalStepsWithoutWaves > options_.steps;
     const bool wave = step_ % kStepsPerWave == kStepsPerWave / 2;
     if (waves_and_power_ && wave && !no_waves) StartWave();
+    if (options_.evacuations && step_ % kStepsPerZoneOrder == 1) ChangeZone();
+    const bool crowd = step_ % kStepsPerCrowd == kStepsPerCrowd / 2 &&
+                       step_ + kFinalStepsWithoutCrowds < options_.steps;
+    if (options_.crowds && crowd) SubmitCrowd();
     RunStep();
   }
   if (cluster_.violations.empty()) EndFaults();
--- a/tests/job_soak_run.h
+++ b/tests/job_soak_run.h
@@ -27,6 +27,10 @@
   /// Operators rename, exchange, move, remove and bring back queues and teams, see
   /// DrawnConfigurations.
   bool changing_queues = false;
+  /// Operators evacuate availability zones and take them back.
+  bool evacuations = false;
+  /// Clients send many jobs at once, more than there is room for while they are of use.
+  bool crowds = false;
 };
 
 struct JobSoakResult {
--- a/tests/job_soak_test.cc
+++ b/tests/job_soak_test.cc
@@ -124,6 +124,26 @@
       CHECK(result.violations.empty());
     }
   }
+  SECTION("with operators that evacuate zones and take them back") {
+    for (std::uint64_t seed = 601; seed <= 606; ++seed) {
+      const JobSoakResult result =
+          RunJobSoak({.seed = seed, .steps = 1'000, .full_platform = true, .evacuations = true});
+      INFO("seed " << seed << " " << JobSoakLine(result));
+      for (const std::string& violation : result.violations) UNSCOPED_INFO(violation);
+      CHECK(result.violations.empty());
+      CHECK(result.completed > 0);
+    }
+  }
+  SECTION("with clients that send many jobs at once") {
+    for (std::uint64_t seed = 701; seed <= 703; ++seed) {
+      const JobSoakResult result = RunJobSoak({.seed = seed, .steps = 1'000, .crowds = true});
+      INFO("seed " << seed << " " << JobSoakLine(result));
+      for (const std::string& violation : result.violations) UNSCOPED_INFO(violation);
+      CHECK(result.violations.empty());
+      CHECK(result.refused > 0);
+      CHECK(result.completed > 0);
+    }
+  }
   SECTION("the same seed gives the same run") {
     CHECK(JobSoakLine(RunJobSoak({.seed = 2, .steps = 150})) ==
           JobSoakLine(RunJobSoak({.seed = 2, .steps = 150})));
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -158,6 +158,26 @@
             MakeRequest("PUT", "/config", good.substr(0, good.size() / 2)))) == 400);
 }
 
+// Guards against an order about a zone that takes effect although it was not sent so.
+TEST_CASE("an operator's order about a zone is decoded") {
+  const auto decode = [](const char* method, const std::string& path, std::string body = {}) {
+    return DecodeControlRequest(MakeRequest(method, path, std::move(body)));
+  };
+  const auto evacuate = CallOf<jobs::EvacuationCall>(decode("POST", "/evacuations/tunis-a"));
+  CHECK(evacuate.zone == "tunis-a");
+  CHECK(evacuate.evacuated);
+  const auto take_back = CallOf<jobs::EvacuationCall>(decode("DELETE", "/evacuations/tunis-a"));
+  CHECK(take_back.zone == "tunis-a");
+  CHECK_FALSE(take_back.evacuated);
+  SECTION("one without a zone, with a body or with another method is rejected") {
+    CHECK(StatusOf(decode("POST", "/evacuations/")) == 400);
+    CHECK(StatusOf(decode("POST", "/evacuations/a b")) == 400);
+    CHECK(StatusOf(decode("POST", "/evacuations/tunis-a", "{}")) == 400);
+    CHECK(StatusOf(decode("PUT", "/evacuations/tunis-a")) == 400);
+    CHECK(StatusOf(decode("GET", "/evacuations/tunis-a")) == 400);
+  }
+}
+
 // Guards against an unknown outcome of an order that is decoded as a known one.
 TEST_CASE("orders are encoded and the replies decoded") {
   const jobs::Order start = jobs::StartOrder{
