Let tasks wait for a place near their data or group while it pays

Cause: the operators' wish. data_rack chose a free worker of the rack at the moment of the plan and never waited; same_rack was read by no decision.

Without far_factor, or with 1, nothing changes.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -362,13 +362,10 @@
                                   .wall_ms = wall,
                                   .now = now,
                                   .max_starts = max_starts,
-std::unordered_set<std::string_view> Leader::WithheldVms() const {
-  std::unordered_set<std::string_view> vms = CordonedVms();
-  pools_.AddLeavingVms(vms);
-  return vms;
-}
-
-                                  .knows_workers = fleet_.KnowsWorkers(now)});
+                                  .knows_workers = fleet_.KnowsWorkers(now),
+                                  .expected_vms = expected_vms,
+                                  .far_factor = options_.far_factor});
+  CountStarts(plan, out);
   pace_.OnPlan(plan.full ? PlanEnd::kFull : PlanEnd::kComplete, now, out);
   // What did not fit into this plan comes with the next one, without a further event.
   if (plan.full) plan_due_ = true;
--- a/control/leader.h
+++ b/control/leader.h
@@ -38,6 +38,7 @@
   std::vector<std::string> zones;
   std::size_t max_tasks = 20'000;      // limit of one job, over all steps and occurrences
 };
+  double far_factor = 1;               // see PlanInput
 
 /// A command of the log that was applied on this node.
 struct AppliedCommand {
--- a/daemon/fleet_settings.cc
+++ b/daemon/fleet_settings.cc
@@ -29,6 +29,15 @@
   value = found->get<double>();
 }
 
+void OptionalFactor(ObjectReader& reader, const std::string& key, double& value) {
+  const Json* found = reader.Find(key);
+  if (found == nullptr) return;
+  if (!found->is_number() || found->get<double>() < 1) {
+    throw SettingsError(reader.Path(key) + " must be a number, 1 or more");
+  }
+  value = found->get<double>();
+}
+
 FleetTiming ReadTiming(const Json& json) {
   ObjectReader reader(json, "timing");
   FleetTiming timing;
@@ -39,6 +48,7 @@
   reader.Optional("keep_ended_s", timing.keep_ended_s, 1, kHour);
   OptionalSeconds(reader, "maintenance_s", timing.maintenance_s);
   OptionalSeconds(reader, "move_s", timing.move_s);
+  OptionalFactor(reader, "far_factor", timing.far_factor);
   reader.RejectUnknownKeys();
   return timing;
 }
@@ -68,6 +78,10 @@
   if (!role) throw SettingsError("role must be \"edge\" or \"core\"");
   settings.role = *role;
   settings.zone = reader.Text("zone");
+  if (const Json* zones = reader.Find("zones")) {
+    if (!zones->is_array()) throw SettingsError("zones must be a list of names");
+    for (const Json& zone : *zones) settings.zones.push_back(ObjectReader::AsText(zone, "zones"));
+  }
   settings.ip = reader.Text("ip");
   settings.first_port = ReadFirstPort(reader.Require("ports"));
   const Json& seeds = reader.Require("seeds");
@@ -78,10 +92,6 @@
   if (const Json* forms = reader.Find("forms_group")) {
     if (!forms->is_boolean()) throw SettingsError("forms_group must be true or false");
     settings.forms_group = forms->get<bool>();
-  if (const Json* zones = reader.Find("zones")) {
-    if (!zones->is_array()) throw SettingsError("zones must be a list of names");
-    for (const Json& zone : *zones) settings.zones.push_back(ObjectReader::AsText(zone, "zones"));
-  }
   }
   reader.Optional("data_folder", settings.data_folder);
   settings.client_address = OptionalAddress(reader, "client_address");
--- a/daemon/fleet_settings.h
+++ b/daemon/fleet_settings.h
@@ -21,6 +21,9 @@
   std::int64_t keep_ended_s = 120;         // ended jobs can be queried for this long
   double maintenance_s = 2;                // downtime of a VM in maintenance
   double move_s = 1.5;                     // downtime of a VM that moves to another pool
+  /// Run time of a task on another rack than its data or its group, as a multiple of that near
+  /// them; 1: tasks do not wait for a place near.
+  double far_factor = 1;
 };
 
 /// Settings of one node of job control, as read from its settings file.
@@ -28,10 +31,10 @@
   std::string node;
   FleetRole role = FleetRole::kEdge;
   std::string zone;
+  std::vector<std::string> zones;  // the availability zones of the deployment; empty: not told
   std::string ip;
   std::int64_t first_port = 0;     // peers connect to this port; the next port serves metrics
   std::vector<std::string> seeds;  // addresses of core nodes; their ports are ignored
-  std::vector<std::string> zones;  // the availability zones of the deployment; empty: not told
   bool forms_group = false;        // first start: seeds with empty data folders form the group
   std::string data_folder;         // required for a core node
   std::string client_address;      // calls of clients; required for an edge node
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -178,6 +178,7 @@
   const std::size_t before = starts_.size();
   scanned_ = false;
   if (candidate.Spec().gang) {
+  waits_near_ = false;
     PlaceGang(candidate);
   } else {
     Place(candidate);
@@ -190,7 +191,7 @@
     return;
   }
   cursor.futile += scanned_ ? kScanCost : 1;
-  if (!scanned_) return;
+  if (!scanned_ || waits_near_) return;
   CheckPlaceable(candidate);
   if (rank.expired && candidate.waited_ms >= kKeepForOverdueMs) KeepWorker(candidate);
 }
@@ -292,6 +293,7 @@
   const Step& step = candidate.Spec();
   const StepRun& run = candidate.Run();
   std::map<WorkerId, std::uint32_t> per_worker;
+  const std::string rack = NearRack(candidate);
   if (step.max_per_worker > 0) per_worker = CountPerWorker(candidate);
   bool full = false;  // no worker has room for a task that is not a suspect
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
@@ -306,12 +308,19 @@
     }
     if (full) continue;
     const bool last_attempt = !step.long_running && task.failed_runs + 1 >= candidate.job->attempts;
-    WorkerRoom* room = ChooseWorker(candidate, per_worker, last_attempt);
+    WorkerRoom* room = nullptr;
+    if (!rack.empty()) {
+      room = ChooseWorker(candidate, per_worker, last_attempt, rack);
+      if (room == nullptr && WaitsForRack(candidate, rack)) continue;
+    }
+    if (room == nullptr) room = ChooseWorker(candidate, per_worker, last_attempt, {});
     if (room == nullptr) {
       full = true;
       continue;
     }
     if (step.max_per_worker > 0) ++per_worker[room->worker->record.id];
+    if (rack.empty()) continue;
+    ++(room->worker->record.rack() == rack ? near_counts_.near_starts : near_counts_.far_starts);
     AddStart(candidate, index, task.run + 1, *room);
   }
 }
@@ -379,6 +388,18 @@
   if (run.assigned > 0) return;  // some tasks of the gang's latest run have not ended
   if (unapplied_.CountOfStep(candidate.job->id, candidate.occurrence, candidate.step) > 0) return;
   const auto held = [&](const Task& task) { return task.held(input_.wall_ms); };
+  const std::string rack = NearRack(candidate);
+  if (rack.empty()) {
+    PlaceGangOn(candidate, {});
+  } else if (PlaceGangOn(candidate, rack)) {
+    near_counts_.near_starts += run.tasks.size();
+  } else if (!WaitsForRack(candidate, rack) && PlaceGangOn(candidate, {})) {
+    near_counts_.far_starts += run.tasks.size();
+  }
+}
+
+bool PlanWalk::PlaceGangOn(const Candidate& candidate, const std::string& rack) {
+  const StepRun& run = candidate.Run();
   if (std::ranges::any_of(run.tasks, held)) return;
   const Step& step = candidate.Spec();
   const std::size_t first_start = starts_.size();
@@ -391,7 +412,7 @@
     const bool within = WithinLimit(*candidate.team, step.size);
     // What does not fit beside the gang's other tasks may fit without them.
     const std::optional<Resources> smallest_before = candidate.room->smallest_unplaced;
-    WorkerRoom* room = within ? ChooseWorker(candidate, per_worker, false) : nullptr;
+    WorkerRoom* room = within ? ChooseWorker(candidate, per_worker, false, rack) : nullptr;
     if (room == nullptr) {
       if (index > 0) candidate.room->smallest_unplaced = smallest_before;
       for (WorkerRoom* one : chosen) {
@@ -420,7 +441,7 @@
 
 WorkerRoom* PlanWalk::ChooseWorker(const Candidate& candidate,
                                    const std::map<WorkerId, std::uint32_t>& per_worker,
-                                   bool last_attempt) {
+                                   bool last_attempt, const std::string& rack) {
   const Step& step = candidate.Spec();
   ServiceRoom& service = *candidate.room;
   const Resources footprint = step.footprint();
@@ -435,6 +456,7 @@
   for (WorkerRoom& room : service.workers) {
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.free) || !Suits(step, record)) continue;
+    if (!rack.empty() && record.rack() != rack) continue;
     if (!IsOpenFor(candidate, room)) {
       leaving_has_room = leaving_has_room || (room.leaving && !room.closed && service.low_use);
       continue;
@@ -452,7 +474,8 @@
     best = &room;
     best_score = score;
   }
-  const bool fits_nowhere = best == nullptr && !leaving_has_room && IsUnrestricted(step);
+  const bool fits_nowhere =
+      best == nullptr && !leaving_has_room && rack.empty() && IsUnrestricted(step);
   if (fits_nowhere) service.smallest_unplaced = footprint;
   return best;
 }
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -52,6 +52,10 @@
   int placeable_checks = 0;  // of skipped steps
   bool has_kept = false;     // a worker is kept for a task
   bool low_use = false;      // at most half of each resource is in use
+  Resources capacity;        // of all workers
+  Resources used;            // of it, unapplied starts included
+  /// Tasks of this plan that wait for a place on the rack.
+  std::map<std::string, std::size_t> near_waits;
 };
 
 /// Resources that a team uses, including the starts planned so far.
@@ -81,11 +85,12 @@
   using RankAnew = std::function<void(JobId)>;
 
   PlanWalk(const State& state, const PlanInput& input, const UnappliedStarts& unapplied,
-           Isolation& isolation, RankAnew rank_anew)
+           Isolation& isolation, NearWaits& near_waits, RankAnew rank_anew)
       : state_(state),
         input_(input),
         unapplied_(unapplied),
         isolation_(isolation),
+        near_waits_(near_waits),
         rank_anew_(std::move(rank_anew)) {}
 
   void Add(const std::string& service, ServiceQueue& queue);
@@ -123,7 +128,17 @@
   /// Whether the worker may get tasks of the candidate that are not suspects.
   static bool IsOpenFor(const Candidate& candidate, const WorkerRoom& room);
   WorkerRoom* ChooseWorker(const Candidate& candidate,
-                           const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt);
+                           const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt,
+                           const std::string& rack);
+
+  /// Returns the rack on which the step's tasks run faster: that of their data, or that of their
+  /// group; empty if any will do.
+  std::string NearRack(const Candidate& candidate) const;
+  /// Returns the rack of the step's running tasks, or else the one with the most places for it;
+  /// empty if its tasks run on several racks already.
+  std::string GroupRack(const Candidate& candidate) const;
+  /// Whether the next task of the step waits for a place on the rack, which has none now.
+  bool WaitsForRack(const Candidate& candidate, const std::string& rack);
   void AddStart(const Candidate& candidate, std::uint32_t index, std::uint32_t run,
                 WorkerRoom& room);
   std::map<WorkerId, std::uint32_t> CountPerWorker(const Candidate& candidate) const;
@@ -134,6 +149,9 @@
   /// Number of the step's waiting tasks that the limit of the team allows.
   std::uint32_t CountWithinLimit(const Candidate& candidate) const;
 
+  /// Plans the starts of all tasks of the gang, on workers of the rack if it is not empty. Returns
+  /// false if they do not all have room.
+  bool PlaceGangOn(const Candidate& candidate, const std::string& rack);
   const State& state_;
   const PlanInput& input_;
   const UnappliedStarts& unapplied_;
@@ -142,6 +160,7 @@
   std::vector<Cursor> cursors_;
   std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
   std::unordered_map<const KnownTeam*, TeamUsage> teams_;
+  /// Returns the best worker for a task, of the rack if `rack` is not empty; null if none has room.
   std::vector<Assign> starts_;
   std::set<WaitingKey> overdue_started_;  // steps of which this plan has starts already
   std::map<std::string, UnplaceableStep> unplaceable_;
@@ -153,3 +172,4 @@
 }  // namespace godwitpaddle::jobs::detail
 
 #endif  // GODWITPADDLE_JOBS_PLAN_WALK_H_
+  NearWaits& near_waits_;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -18,6 +18,8 @@
 /// A kept worker is released if no task waited for it for this long, which is longer than the time
 /// between two plans.
 constexpr Micros kKeepTime = 400 * kMillisecond;
+/// A step that no plan found to wait for a place near for this long does not wait any more.
+constexpr Micros kNearWaitTime = kSecond;
 /// A step that no plan found to be unplaceable for this long is placeable. A plan may end before it
 /// gets to a service.
 constexpr Micros kUnplaceableTime = 400 * kMillisecond;
@@ -42,6 +44,7 @@
   later_.clear();
   changed_.clear();
   unplaceable_.clear();
+  near_waits_.clear();
   for (const auto& [id, job] : state_.startable_jobs()) changed_.insert(id);
 }
 
@@ -130,7 +133,9 @@
   }
   for (const JobId id : std::exchange(changed_, {})) Update(id, input);
   UpdateIsolation(input.now);
-  detail::PlanWalk walk(state_, input, unapplied_, isolation_,
+  std::erase_if(near_waits_,
+                [&](const auto& entry) { return input.now > entry.second.seen + kNearWaitTime; });
+  detail::PlanWalk walk(state_, input, unapplied_, isolation_, near_waits_,
                         [&](JobId id) { Update(id, input); });
   for (auto& [service, queue] : queues_) walk.Add(service, queue);
   StartPlan plan{.starts = walk.Run(), .full = walk.full()};
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -43,6 +43,19 @@
   /// unplaceable.
   bool knows_workers = true;
 };
+  /// Returns the VMs that a service is to have for tasks that are not long-running, so that the
+  /// beginning of a peak does not count as a lack of room; 0 if that is not known.
+  std::function<double(const std::string&)> expected_vms;
+  /// Run time of a task that is away from its data or its group, as a multiple of that near; 1:
+  /// tasks do not wait for a place near.
+  double far_factor = 1;
+};
+
+/// How a plan chose between places near a step's data or group and others.
+struct NearCounts {
+  std::size_t near_starts = 0;
+  std::size_t far_starts = 0;
+  std::size_t waits = 0;  // tasks that began to wait for a place near
 
 struct StartPlan {
   std::vector<Assign> starts;
@@ -110,6 +123,14 @@
 
 }  // namespace detail
 
+/// A step that waits for a place near its data or its group.
+struct NearWait {
+  Micros since = 0;
+  Micros seen = 0;  // time of the latest plan in which it waited
+};
+/// By the first task of the step.
+using NearWaits = std::map<TaskId, NearWait>;
+
 /// Keeps the waiting steps in the order in which they are to start. It follows the changes of the
 /// state, so that the cost of a plan depends on what changed, on the starts that it makes and on
 /// the workers of the services that have waiting tasks, but not on the number of waiting jobs.
@@ -167,3 +188,4 @@
 }  // namespace godwitpaddle::jobs
 
 #endif  // GODWITPADDLE_JOBS_PLANNER_H_
+  detail::NearWaits near_waits_;
