--- a/control/leader.cc
+++ b/control/leader.cc
@@ -1,6 +1,8 @@
 #include "control/leader.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 #include <optional>
 #include <string_view>
 #include <unordered_set>
@@ -40,6 +42,24 @@
   return kPlanPause + static_cast<Micros>(state.worker_count()) * kPlanPausePerWorker;
 }
 
+/// Formats a number of VMs with one digit after the point.
+std::string FormatVms(double vms) {
+  const auto tenths = static_cast<std::int64_t>(std::lround(vms * 10));
+  const std::int64_t whole = std::abs(tenths);
+  return (tenths < 0 ? "-" : "") + std::to_string(whole / 10) + "." + std::to_string(whole % 10);
+}
+
+/// Counts how the plan chose among places and teams.
+void CountStarts(const StartPlan& plan, Outbox& out) {
+  const auto count = [&out](const char* name, std::size_t value) {
+    if (value > 0) out.Count(name, static_cast<double>(value));
+  };
+  count("near_starts_total", plan.near.near_starts);
+  count("far_starts_total", plan.near.far_starts);
+  count("near_waits_total", plan.near.waits);
+  count("share_starts_total", plan.share_starts);
+}
+
 Answer AnswerTo(const Command& command, ApplyOutcome outcome) {
   switch (outcome) {
     case ApplyOutcome::kApplied:
@@ -81,6 +101,7 @@
   requesters_.clear();
   unapplied_submits_.clear();
   configure_unapplied_ = false;
+  refused_.clear();
   held_calls_.clear();
   fleet_.BeginTerm(term, now, wall);
   orders_.BeginTerm(term, now);
@@ -94,6 +115,7 @@
                                {"configuration", std::to_string(state_.configuration().version)},
                                {"open_jobs", std::to_string(state_.open_job_count())},
                                {"workers", std::to_string(state_.worker_count())}});
+  zone_drain_.BeginTerm(out);
 }
 
 void Leader::EndTerm(Outbox& out) {
@@ -107,6 +129,7 @@
   held_calls_.clear();  // gateways send them to the next leader
   fleet_.EndTerm();
   orders_.EndTerm();
+  zone_drain_.EndTerm(out);
 }
 
 // ---- proposals ----
@@ -115,7 +138,6 @@
   proposals_.push_back({.command = std::move(command),
                         .has_requester = true,
                         .requester = {.id = request.id, .address = request.reply_address}});
-  zone_drain_.BeginTerm(out);
 }
 
 std::vector<std::string> Leader::TakeProposals() {
@@ -129,7 +151,6 @@
   std::uint64_t index = first_index;
   for (Proposal& proposal : proposals_) {
     if (proposal.has_requester) requesters_[index] = std::move(proposal.requester);
-  zone_drain_.EndTerm(out);
     ++index;
   }
   proposals_.clear();
@@ -267,6 +288,7 @@
     Measure("section_pools_us", out, [&] { pools_.Tick(now, wall, out); });
   }
   orders_.Tick(now, wall, out);
+  zone_drain_.Tick(now, wall, out);
   PlanIfDue(now, wall, out);
   wait_report_.Tick(now, wall, out);
   LogLoad(now, out);
@@ -287,8 +309,8 @@
   scanned_before_ = state_.scanned();
   out.Count("records_scanned_total", static_cast<double>(scanned));
   CompareRuns(out);
+  LogShares(now, out);
   // A warning in severity only: such lines have a quota of their own, so that routine ones do not
-  zone_drain_.Tick(now, wall, out);
   // displace them when the leader is overloaded.
   Fields fields{{"open_jobs", std::to_string(state_.open_job_count())},
                 {"startable_jobs", std::to_string(state_.startable_job_count())},
@@ -303,6 +325,24 @@
   out.Log("leader_load", std::move(fields), Severity::kWarning);
 }
 
+void Leader::LogShares(Micros now, Outbox& out) {
+  for (const auto& [service, shares] : planner_.ContendedShares(now)) {
+    std::string teams;
+    for (const TeamShare& share : shares) {
+      const KnownTeam* team = state_.FindTeam(share.team);
+      if (team == nullptr) continue;
+      const ShareAccount& account = share.account;
+      const auto refused = refused_.find(share.team);
+      teams += (teams.empty() ? "" : ",") + team->team.name + "=" + FormatVms(account.used) + "/" +
+               FormatVms(account.entitled) + "/" + FormatVms(account.wanted) + "/" +
+               FormatVms(account.lag) + "/" +
+               std::to_string(refused == refused_.end() ? 0 : refused->second);
+    }
+    out.Log("service_full", {{"service", service}, {"teams", std::move(teams)}});
+  }
+  refused_.clear();
+}
+
 void Leader::CompareRuns(Outbox& out) {
   for (const RunMismatch& mismatch : fleet_.CompareNextRuns()) {
     out.Log("run_mismatch",
@@ -322,6 +362,12 @@
   return vms;
 }
 
+std::unordered_set<std::string_view> Leader::WithheldVms() const {
+  std::unordered_set<std::string_view> vms = CordonedVms();
+  pools_.AddLeavingVms(vms);
+  return vms;
+}
+
 void Leader::PlanIfDue(Micros now, WallMs wall, Outbox& out) {
   const bool due = plan_due_ || now >= next_plan_ + kPlanPeriod;
   if (!due || now < next_plan_) return;
@@ -357,6 +403,10 @@
   const auto factor = [this](const std::string& service) {
     return demand_.EstimateFactor(service);
   };
+  const auto expected_vms = [this](const std::string& service) {
+    const RoomOutlook* room = pools_.OutlookOf(service);
+    return room == nullptr ? 0 : room->vms;
+  };
   StartPlan plan = planner_.Plan({.usable_workers = usable,
                                   .estimate_factor = factor,
                                   .wall_ms = wall,
--- a/control/leader.h
+++ b/control/leader.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,8 +19,8 @@
 #include "control/vm_orders.h"
 #include "control/wait_report.h"
 #include "control/worker_fleet.h"
-#include "jobs/planner.h"
 #include "control/zone_drain.h"
+#include "jobs/planner.h"
 #include "jobs/state.h"
 
 namespace godwitpaddle::jobs {
@@ -33,12 +34,12 @@
   VmOrdersOptions vm_orders;
   MaintenanceOptions maintenance;
   PoolScalerOptions pools;
-  std::size_t max_spec_bytes = 4'000;  // limit of a job's payload
   /// The availability zones of the deployment, beside those from which workers report.
   std::vector<std::string> zones;
+  std::size_t max_spec_bytes = 4'000;  // limit of a job's payload
   std::size_t max_tasks = 20'000;      // limit of one job, over all steps and occurrences
-};
   double far_factor = 1;               // see PlanInput
+};
 
 /// A command of the log that was applied on this node.
 struct AppliedCommand {
@@ -121,17 +122,21 @@
               Outbox& out);
   void Handle(const WaveQueryCall& call, const CallRequest& request, Micros now, WallMs wall,
               Outbox& out);
-  /// Whether an earlier leader may have accepted the job of this call, under a configuration that
-  /// had the queue and the key: then a refusal would not be true.
   void Handle(const EvacuationCall& call, const CallRequest& request, Micros now, WallMs wall,
               Outbox& out);
   bool IsKnownZone(const std::string& zone) const;
+  /// Whether an earlier leader may have accepted the job of this call, under a configuration that
+  /// had the queue and the key: then a refusal would not be true.
   bool MayBeAccepted(const JobCall& call, const CallRequest& request) const;
   void OnSubmit(const JobCall& call, const Queue& queue, JobId job, const CallRequest& request,
                 WallMs wall, Outbox& out);
   /// Whether a job with this id may be refused as not accepted: it is neither accepted nor
   /// proposed.
   bool MayRefuse(JobId job) const;
+  /// Returns the refusal of a job that cannot be completed while it is of use, because of the work
+  /// of its team that was accepted before it; nothing if it is accepted.
+  std::optional<Answer> RefuseForLackOfRoom(const JobCall& call, const Queue& queue, JobId job,
+                                            Outbox& out);
   std::string CheckSpec(const JobSpec& spec) const;
   /// Number of the queue's jobs of which no worker is known to have begun a task.
   Answer CountPending(const Queue& queue) const;
@@ -153,15 +158,17 @@
   void Plan(std::size_t max_starts, Micros now, WallMs wall, Outbox& out);
   /// Returns the VMs whose workers must not get tasks because of a move or maintenance.
   std::unordered_set<std::string_view> CordonedVms() const;
+  /// Returns these VMs and those that are to be moved once they have no tasks.
+  std::unordered_set<std::string_view> WithheldVms() const;
   /// Logs the tasks for which the state and the leader's knowledge of the workers differ.
   void CompareRuns(Outbox& out);
   /// Runs the section and reports its time.
   template <typename Section>
   void Measure(const char* metric, Outbox& out, const Section& section) const;
   /// Logs the backlog and the cost of the last period, once each period.
-  /// Returns these VMs and those that are to be moved once they have no tasks.
-  std::unordered_set<std::string_view> WithheldVms() const;
   void LogLoad(Micros now, Outbox& out);
+  /// Logs the shares of the teams in services that did not have room for all in the last period.
+  void LogShares(Micros now, Outbox& out);
 
   LeaderOptions options_;
   const State& state_;
@@ -172,15 +179,16 @@
   Demand demand_;
   PoolScaler pools_;
   WaitReport wait_report_;
+  ZoneDrain zone_drain_;
   replication::Term term_ = 0;
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Requester> requesters_;  // of proposed commands, by log index
+  std::map<TeamNumber, std::uint64_t> refused_;    // jobs refused for lack of room, last period
   std::multiset<JobId> unapplied_submits_;         // jobs of proposed Submits, not applied yet
   bool configure_unapplied_ = false;               // a Configure is proposed, and not applied yet
   std::deque<HeldCall> held_calls_;                // in the order of their arrival
   Micros call_waited_ = 0;                         // of the call that is handled
   PlanPace pace_;
-  ZoneDrain zone_drain_;
   bool plan_due_ = false;
   Micros next_plan_ = 0;
   Micros next_fleet_tick_ = 0;
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -1,9 +1,12 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "control/event_queue.h"
 #include "control/leader.h"
 #include "control/refusal.h"
+#include "jobs/job_admission.h"
+#include "jobs/team_shares.h"
 
 // The leader's handlers for calls of clients, workers and operators.
 namespace godwitpaddle::jobs {
@@ -13,6 +16,7 @@
 
 constexpr std::int64_t kConfigureRetryS = 1;
 constexpr std::int64_t kOverloadRetryS = 1;
+constexpr std::int64_t kMaxRetryS = 30;
 
 /// Whether the job has more than `limit` tasks. Compares before it multiplies: the product of two
 /// valid counts may overflow.
@@ -25,6 +29,22 @@
   return count * spec.occurrences() > limit;
 }
 
+/// Returns the team's accepted work in VM-milliseconds.
+double WorkInVmMs(const TeamLoad& load, const Resources& vm) {
+  const auto ratio = [](double amount, std::int64_t of) {
+    return of <= 0 ? 0 : amount / static_cast<double>(of);
+  };
+  return std::max(ratio(load.open_cpu_ms, vm.cpu), ratio(load.open_memory_ms, vm.memory_mb));
+}
+
+/// Returns after how many seconds the caller may come back. Callers that are refused at the same
+/// time come back over a time as long as the one they wait, so that no second peak follows.
+std::int64_t RetryAfterS(const AdmissionVerdict& verdict, JobId job) {
+  const auto seconds = static_cast<std::int64_t>(std::ceil(verdict.retry_after_ms / 1'000));
+  const std::int64_t least = std::clamp(seconds, kOverloadRetryS, kMaxRetryS);
+  return least + static_cast<std::int64_t>(job % static_cast<std::uint64_t>(least + 1));
+}
+
 }  // namespace
 
 void Leader::Refuse(const JobCall& call, const CallRequest& request, Answer refusal,
@@ -138,6 +158,9 @@
   std::string error = CheckSpec(call.spec);
   if (error.empty() && queue.requires_ticket) error = "policy services are not supported";
   if (!error.empty()) return refuse(std::move(error));
+  if (auto refusal = RefuseForLackOfRoom(call, queue, job, out)) {
+    return Refuse(call, request, *std::move(refusal), out);
+  }
   out.Log("job_accepted", {{"job", FormatJob(job)},
                            {"queue", queue.name},
                            {"configuration", std::to_string(state_.configuration().version)},
@@ -158,6 +181,52 @@
   return state_.FindJob(job) == nullptr && !unapplied_submits_.contains(job);
 }
 
+std::optional<Answer> Leader::RefuseForLackOfRoom(const JobCall& call, const Queue& queue,
+                                                  JobId job, Outbox& out) {
+  const KnownTeam* team = queue.open ? nullptr : state_.FindTeamOfKey(call.key);
+  const RoomOutlook* room = pools_.OutlookOf(queue.service);
+  const bool bounded =
+      call.spec.repeat_count == 0 && std::ranges::none_of(call.spec.steps, &Step::long_running);
+  if (team == nullptr || room == nullptr || !bounded || !MayRefuse(job)) return std::nullopt;
+  std::vector<TeamDemand> demands;
+  double ahead_vm_ms = 0;
+  double others_vm_ms = 0;
+  double others_weight = 0;
+  const double factor = demand_.EstimateFactor(queue.service);
+  for (const auto& [number, load] : state_.LoadsOf(queue.service)) {
+    const KnownTeam* one = state_.FindTeam(number);
+    if (one == nullptr) continue;
+    demands.push_back({.team = number,
+                       .weight = one->team.weight,
+                       .used = load.used,
+                       .wanted = load.used + load.waiting});
+    const double work_vm_ms = factor * WorkInVmMs(load, room->vm);
+    if (one == team) {
+      ahead_vm_ms = work_vm_ms;
+    } else {
+      others_vm_ms += work_vm_ms;
+      others_weight += one->team.weight;
+    }
+  }
+  const double path_ms = factor * static_cast<double>(CriticalPathMs(call.spec));
+  const AdmissionVerdict verdict = DecideAdmission(
+      {.ahead_vm_ms = ahead_vm_ms,
+       .team_vms = ExpectedVms(demands, team->number, team->team.weight, room->vms, room->vm),
+       .room_delay_ms = static_cast<double>(room->delay) / kMillisecond,
+       .critical_path_ms = path_ms,
+       .objective_ms = static_cast<double>(queue.target_latency_ms) + queue.stretch * path_ms,
+       .crowding = others_vm_ms <= 0
+                       ? 1
+                       : ahead_vm_ms * others_weight / (others_vm_ms * team->team.weight)});
+  if (verdict.admitted) return std::nullopt;
+  ++refused_[team->number];
+  out.Count("jobs_refused_no_room_total");
+  return MakeRefusal(AnswerCode::kOverloaded,
+                     "the team's work before this job would take too long; the job was not "
+                     "accepted",
+                     RetryAfterS(verdict, job));
+}
+
 std::string Leader::CheckSpec(const JobSpec& spec) const {
   if (spec.payload.size() > options_.max_spec_bytes) return "the job's payload is too long";
   if (spec.steps.empty()) return "the job has no steps";
@@ -280,7 +349,6 @@
         out);
 }
 
-}  // namespace godwitpaddle::jobs
 bool Leader::IsKnownZone(const std::string& zone) const {
   if (std::ranges::find(options_.zones, zone) != options_.zones.end()) return true;
   return std::ranges::any_of(state_.workers(),
@@ -304,3 +372,4 @@
       request);
 }
 
+}  // namespace godwitpaddle::jobs
--- a/control/pool_scaler.cc
+++ b/control/pool_scaler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/team_shares.h"
+
 namespace godwitpaddle::jobs {
 namespace {
 
@@ -36,6 +38,7 @@
   long_running_waits_.clear();
   arrived_.clear();
   standby_read_ = false;
+  outlooks_.clear();
 }
 
 void PoolScaler::AddCordonedVms(std::unordered_set<std::string_view>& vms) const {
@@ -64,12 +67,33 @@
   for (const Pool& pool : pools) {
     if (!pool.standby) pool_vms[pool.service] = pool.vms;
   }
-  const std::vector<PoolMove> moves = PlanMoves(std::move(pools), options_.plan, now);
+  UpdateOutlooks(pools);
+  std::vector<PoolMove> moves = PlanMoves(std::move(pools), options_.plan, now);
+  AddSwitchOffs(moves, now, wall);
   // A VM whose move is no longer planned gets tasks again. So do all if the platform has no time.
   draining_.clear();
   if (orders_.HasTime(now)) Execute(moves, pool_vms, now, out);
 }
 
+void PoolScaler::UpdateOutlooks(const std::vector<Pool>& pools) {
+  outlooks_.clear();
+  const PoolTargets targets = SetTargets(pools, options_.plan);
+  for (const Pool& pool : pools) {
+    const Worker* typical = fleet_.AnyWorkerOf(pool.service);
+    if (pool.standby || typical == nullptr) continue;
+    const int target = targets.vms.at(pool.service);
+    outlooks_[pool.service] = {
+        .vm = typical->record.capacity,
+        .vms = std::max(0.0, std::max(pool.vms, target) - pool.long_running_vms),
+        .delay = target > pool.vms ? options_.move_ms * kMillisecond : 0};
+  }
+}
+
+const RoomOutlook* PoolScaler::OutlookOf(const std::string& service) const {
+  const auto found = outlooks_.find(service);
+  return found == outlooks_.end() ? nullptr : &found->second;
+}
+
 void PoolScaler::Execute(const std::vector<PoolMove>& moves,
                          const std::map<std::string, int>& pool_vms, Micros now, Outbox& out) {
   std::size_t slots = orders_.FreeSlots();
@@ -161,6 +185,7 @@
   }
   AddWorkers(pools, now);
   AddUnheardWorkers(pools, now);
+  AddEvacuatedWorkers(pools, now);
   AddWaitingNeeds(pools, now);
   AddStandby(pools);
   for (const auto& [vm, moving] : moving_) {
@@ -185,7 +210,6 @@
 }
 
 void PoolScaler::TrackLongRunningWaits(Micros now, WallMs wall) {
-  AddEvacuatedWorkers(pools, now);
   std::map<TaskId, Micros> waits;
   const auto track_step = [&](const Job& job, std::uint32_t occurrence, std::uint32_t step) {
     const StepRun& run = job.At(occurrence, step);
@@ -261,6 +285,7 @@
     // to arriving work.
     if (worker.long_running_tasks > 0) {
       pool.needed_cores += static_cast<double>(worker.long_running_used.cpu) / kMillicores;
+      pool.long_running_vms += InVms(worker.long_running_used, worker.record.capacity);
       continue;
     }
     if (orders_.IsClaimed(vm) || !orders_.MayOrder(vm)) continue;
@@ -277,6 +302,7 @@
       const bool unheard =
           one.obstacle == WorkerObstacle::kUnconfirmed || one.obstacle == WorkerObstacle::kSilent;
       if (!unheard || record.vm.empty() || moving_.contains(record.vm)) continue;
+      if (state_.IsEvacuated(record.zone)) continue;
       ++pool.vms;
       pool.vm_cores =
           std::max(pool.vm_cores, static_cast<double>(record.capacity.cpu) / kMillicores);
@@ -296,32 +322,6 @@
   }
 }
 
-void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
-  moving_[move.vm] = {.from = move.from, .to = move.to, .ordered = now};
-  out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
-  out.Count("vm_moves_total");
-  orders_.Claim(move.vm);
-  orders_.Order(move.vm, MoveVm{.vm = move.vm, .pool = move.to},
-      if (state_.IsEvacuated(record.zone)) continue;
-                [this, vm = move.vm](VmOutcome outcome, Micros then, WallMs /*wall*/,
-                                     Outbox& reply) { OnOutcome(vm, outcome, then, reply); });
-}
-
-void PoolScaler::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out) {
-  const auto moving = moving_.find(vm);
-  if (moving == moving_.end()) return;
-  if (outcome != VmOutcome::kDone) {
-    moving_.erase(moving);
-    orders_.Release(vm);
-    return;
-  }
-  standby_vms_.erase(vm);
-  moving->second.accepted = now;
-  moving->second.arrives = now + options_.move_ms * kMillisecond;
-  fleet_.ExpectVmDown(vm, now, out);
-}
-
-}  // namespace godwitpaddle::jobs
 bool PoolScaler::IsInEvacuatedZone(const VmId& vm) const {
   if (state_.evacuated_zones().empty()) return false;
   const auto found = orders_.vms().find(vm);
@@ -363,3 +363,28 @@
   }
 }
 
+void PoolScaler::Start(const PoolMove& move, Micros now, Outbox& out) {
+  moving_[move.vm] = {.from = move.from, .to = move.to, .ordered = now};
+  out.Log("vm_moves", {{"vm", move.vm}, {"from", move.from}, {"to", move.to}});
+  out.Count("vm_moves_total");
+  orders_.Claim(move.vm);
+  orders_.Order(move.vm, MoveVm{.vm = move.vm, .pool = move.to},
+                [this, vm = move.vm](VmOutcome outcome, Micros then, WallMs /*wall*/,
+                                     Outbox& reply) { OnOutcome(vm, outcome, then, reply); });
+}
+
+void PoolScaler::OnOutcome(const VmId& vm, VmOutcome outcome, Micros now, Outbox& out) {
+  const auto moving = moving_.find(vm);
+  if (moving == moving_.end()) return;
+  if (outcome != VmOutcome::kDone) {
+    moving_.erase(moving);
+    orders_.Release(vm);
+    return;
+  }
+  standby_vms_.erase(vm);
+  moving->second.accepted = now;
+  moving->second.arrives = now + options_.move_ms * kMillisecond;
+  fleet_.ExpectVmDown(vm, now, out);
+}
+
+}  // namespace godwitpaddle::jobs
--- a/control/pool_scaler.h
+++ b/control/pool_scaler.h
@@ -24,6 +24,13 @@
   std::int64_t move_ms = 1'500;  // time for which a moved VM is down
 };
 
+/// The room that a service can reckon with for tasks that are not long-running.
+struct RoomOutlook {
+  Resources vm;      // capacity of one VM
+  double vms = 0;    // VMs that the service has or is to have, less what long-running tasks take up
+  Micros delay = 0;  // until all of them are there
+};
+
 /// Moves VMs between pools to follow demand: estimates the cores that each pool needs, drains VMs
 /// of pools with a surplus, and has the platform move them.
 class PoolScaler {
@@ -49,6 +56,8 @@
   /// Number of VMs that are down or withheld from tasks because of moves, and of leaving VMs.
   std::size_t moving() const { return moving_.size(); }
   std::size_t leaving() const { return draining_.size(); }
+  /// The outlook of the service as of the last tick; null if none is known.
+  const RoomOutlook* OutlookOf(const std::string& service) const;
   /// Whether the VM is being moved to another pool.
   bool IsMoving(const VmId& vm) const { return moving_.contains(vm); }
 
@@ -68,15 +77,6 @@
   /// Counts the workers that a new leader has not heard from yet: they are probably there.
   void AddUnheardWorkers(std::map<std::string, Pool>& pools, Micros now) const;
   void AddStandby(std::map<std::string, Pool>& pools) const;
-  /// Cores that a service needs for its forecast load and its backlog.
-  double NeededCores(const std::string& service, double open_core_ms, Micros now);
-  /// Updates which long-running tasks wait for a worker, and since when.
-  void TrackLongRunningWaits(Micros now, WallMs wall);
-  /// Tasks, by service, that no worker has room for: long-running ones that have waited longer than
-  /// a start takes, and unplaceable steps of the planner.
-  std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
-  void AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
-  void FinishMoves(Micros now);
   /// Counts the room that the long-running tasks of evacuated zones will need in other zones.
   void AddEvacuatedWorkers(std::map<std::string, Pool>& pools, Micros now) const;
   /// Whether the VM is in an evacuated zone, as far as is known.
@@ -86,6 +86,15 @@
   void AddSwitchOffs(std::vector<PoolMove>& moves, Micros now, WallMs wall) const;
   /// Notes what room each service has and is to have.
   void UpdateOutlooks(const std::vector<Pool>& pools);
+  /// Cores that a service needs for its forecast load and its backlog.
+  double NeededCores(const std::string& service, double open_core_ms, Micros now);
+  /// Updates which long-running tasks wait for a worker, and since when.
+  void TrackLongRunningWaits(Micros now, WallMs wall);
+  /// Tasks, by service, that no worker has room for: long-running ones that have waited longer than
+  /// a start takes, and unplaceable steps of the planner.
+  std::map<std::string, std::vector<WaitingDemand>> WaitingDemands(Micros now) const;
+  void AddWaitingNeeds(std::map<std::string, Pool>& pools, Micros now) const;
+  void FinishMoves(Micros now);
   /// Whether a worker on the VM has tasks.
   bool IsBusy(const VmId& vm) const;
   bool HasArrived(const VmId& vm, const VmMove& move) const;
@@ -111,6 +120,7 @@
   std::map<VmId, std::string> standby_vms_;  // VMs in standby pools, with the pool
   /// Whether `standby_vms_` was filled, once in this term, from the platform's list of VMs.
   bool standby_read_ = false;
+  std::map<std::string, RoomOutlook> outlooks_;  // by service
   std::map<std::string, Micros> surplus_since_;  // by pool; 0: no surplus
   std::map<std::string, Micros> arrived_;        // time of the last arrival of a VM, by pool
   std::map<TaskId, Micros> long_running_waits_;  // start of the wait of each long-running task
--- a/jobs/known_queues.cc
+++ b/jobs/known_queues.cc
@@ -2,6 +2,22 @@
 
 namespace godwitpaddle::jobs {
 
+TeamLoad& TeamLoad::operator+=(const TeamLoad& other) {
+  used += other.used;
+  waiting += other.waiting;
+  open_cpu_ms += other.open_cpu_ms;
+  open_memory_ms += other.open_memory_ms;
+  return *this;
+}
+
+TeamLoad& TeamLoad::operator-=(const TeamLoad& other) {
+  used -= other.used;
+  waiting -= other.waiting;
+  open_cpu_ms -= other.open_cpu_ms;
+  open_memory_ms -= other.open_memory_ms;
+  return *this;
+}
+
 void KnownQueues::Configure(const Configuration& configuration) {
   for (const Queue& queue : configuration.queues) {
     const auto found = by_place_.find({queue.host, queue.prefix});
@@ -55,6 +71,17 @@
   return totals;
 }
 
+std::map<TeamNumber, TeamLoad> KnownQueues::LoadsOf(const std::string& service) const {
+  std::map<TeamNumber, TeamLoad> totals;
+  const auto add = [&](const KnownQueue& known) {
+    if (known.queue.service != service) return;
+    for (const auto& [team, load] : known.loads) totals[team] += load;
+  };
+  for (const auto& [place, known] : by_place_) add(known);
+  for (const auto& [name, known] : unplaced_) add(known);
+  return totals;
+}
+
 KnownQueues::Stored KnownQueues::Store() const {
   Stored stored{.last_number = last_number_};
   stored.queues.reserve(by_number_.size());
--- a/jobs/known_queues.h
+++ b/jobs/known_queues.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/known_teams.h"
 #include "jobs/types.h"
 
 namespace godwitpaddle::jobs {
@@ -15,6 +16,19 @@
 /// Identifies a queue that has jobs; 0: it is not known at which host and prefix.
 using QueueNumber = std::uint32_t;
 
+/// What jobs use and ask for. Does not count repeated jobs, whose tasks wait for their time, but
+/// for what they use.
+struct TeamLoad {
+  Resources used;             // reserved by the tasks that are assigned
+  Resources waiting;          // to be reserved by the tasks that could start
+  double open_cpu_ms = 0;     // estimated work, see State::OpenCoreMs; thousandths of a core
+  double open_memory_ms = 0;  // the same in megabytes
+
+  TeamLoad& operator+=(const TeamLoad& other);
+  TeamLoad& operator-=(const TeamLoad& other);
+  bool operator==(const TeamLoad&) const = default;
+};
+
 /// A queue that has jobs, as the newest configuration that has it describes it. A queue is what its
 /// host and prefix select: its name and all its other settings may change, and it may be removed
 /// while it has jobs.
@@ -27,6 +41,8 @@
   std::size_t jobs = 0;         // all of them, ended ones included
   std::size_t queued_jobs = 0;  // none of whose tasks is assigned or has started
   double open_core_ms = 0;      // see State::OpenCoreMs
+  /// By team; 0: jobs without one. Teams without load have no entry.
+  std::map<TeamNumber, TeamLoad> loads;
 };
 
 /// The queues that have jobs. Pointers to them are valid until their last job is removed.
@@ -44,6 +60,8 @@
   const KnownQueue* Find(const Queue& queue) const;
   /// Estimated open work by service, see State::OpenCoreMs.
   std::map<std::string, double> OpenCoreMs() const;
+  /// The loads of the queues that the service has at present, by team.
+  std::map<TeamNumber, TeamLoad> LoadsOf(const std::string& service) const;
 
   /// The queues in the form that a snapshot stores.
   struct Stored {
--- a/jobs/known_teams.cc
+++ b/jobs/known_teams.cc
@@ -64,8 +64,8 @@
   RemoveUnused();
 }
 
-KnownTeam* KnownTeams::FindByKey(const std::string& key) {
-  for (auto& [number, known] : teams_) {
+const KnownTeam* KnownTeams::FindByKey(const std::string& key) const {
+  for (const auto& [number, known] : teams_) {
     if (known.in_force && std::ranges::find(known.team.keys, key) != known.team.keys.end()) {
       return &known;
     }
@@ -73,6 +73,10 @@
   return nullptr;
 }
 
+KnownTeam* KnownTeams::FindByKey(const std::string& key) {
+  return const_cast<KnownTeam*>(std::as_const(*this).FindByKey(key));
+}
+
 KnownTeam* KnownTeams::FindByName(const std::string& name) {
   for (auto& [number, known] : teams_) {
     if (known.in_force && known.team.name == name) return &known;
@@ -85,6 +89,11 @@
   return found == teams_.end() ? nullptr : &found->second;
 }
 
+const KnownTeam* KnownTeams::FindByNumber(TeamNumber number) const {
+  const auto found = teams_.find(number);
+  return found == teams_.end() ? nullptr : &found->second;
+}
+
 void KnownTeams::RemoveJob(KnownTeam& known) {
   if (--known.jobs == 0 && !known.in_force) teams_.erase(known.number);
 }
--- a/jobs/known_teams.h
+++ b/jobs/known_teams.h
@@ -36,9 +36,11 @@
   void Configure(const std::vector<Team>& teams);
   /// Returns the team of the configuration that has the key; null if there is none.
   KnownTeam* FindByKey(const std::string& key);
+  const KnownTeam* FindByKey(const std::string& key) const;
   /// Returns the team of the configuration with this name; null if there is none.
   KnownTeam* FindByName(const std::string& name);
   KnownTeam* FindByNumber(TeamNumber number);
+  const KnownTeam* FindByNumber(TeamNumber number) const;
   void RemoveJob(KnownTeam& known);
 
   /// The teams in the form that a snapshot stores.
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -105,6 +105,7 @@
   max_futile_ = std::clamp(share, kMinFutileExaminations, kMaxFutileExaminations);
   for (Cursor& cursor : cursors_) {
     StartOverdue(cursor);
+    StartWithinShares(cursor);
     cursor.key = cursor.queue->waiting.begin()->first;  // the former one may have been ranked anew
   }
   std::ranges::make_heap(cursors_, std::greater(), &Cursor::key);
@@ -158,7 +159,7 @@
 
 void PlanWalk::Examine(Cursor& cursor) {
   state_.CountScanned(1);
-  if (overdue_started_.contains(cursor.key)) return;
+  if (started_.contains(cursor.key)) return;
   ServiceRoom& room = RoomOf(*cursor.service);
   const Resources& footprint = cursor.queue->waiting.at(cursor.key);
   // A step that needs no more than this one has not fitted on any worker in this plan.
@@ -177,8 +178,8 @@
   const Candidate candidate = MakeCandidate(cursor, job);
   const std::size_t before = starts_.size();
   scanned_ = false;
-  if (candidate.Spec().gang) {
   waits_near_ = false;
+  if (candidate.Spec().gang) {
     PlaceGang(candidate);
   } else {
     Place(candidate);
@@ -220,7 +221,7 @@
       queue.overdue_credit = credit - kOverdueShare * started;
       if (started > 0) {
         queue.last_overdue_start = input_.now;
-        overdue_started_.insert(cursor.key);
+        started_.insert(cursor.key);
       }
     }
     next = waiting.upper_bound(cursor.key);
@@ -235,8 +236,6 @@
   state_.CountScanned(usable.size());
   room.workers.reserve(usable.size());
   const auto kept = isolation_.kept.find(service);
-  Resources used;
-  Resources capacity;
   for (const UsableWorker& one : usable) {
     const Worker& worker = *one.worker;
     const WorkerId& id = worker.record.id;
@@ -246,8 +245,8 @@
     if (is_kept) room.has_kept = true;
     const bool unanswered = one.unanswered_starts >= kMaxUnansweredStarts;
     const Resources taken = worker.used + load.used;
-    used += taken;
-    capacity += worker.record.capacity;
+    room.used += taken;
+    room.capacity += worker.record.capacity;
     room.workers.push_back(
         {.worker = &worker,
          .free = worker.record.capacity - taken,
@@ -260,7 +259,7 @@
          .kept = is_kept && !unanswered,
          .in_trial = in_trial});
   }
-  room.low_use = (used + used).FitsInto(capacity);
+  room.low_use = (room.used + room.used).FitsInto(room.capacity);
   return room;
 }
 
@@ -293,8 +292,8 @@
   const Step& step = candidate.Spec();
   const StepRun& run = candidate.Run();
   std::map<WorkerId, std::uint32_t> per_worker;
-  const std::string rack = NearRack(candidate);
   if (step.max_per_worker > 0) per_worker = CountPerWorker(candidate);
+  const std::string rack = NearRack(candidate);
   bool full = false;  // no worker has room for a task that is not a suspect
   for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
     const Task& task = run.tasks[index];
@@ -319,9 +318,9 @@
       continue;
     }
     if (step.max_per_worker > 0) ++per_worker[room->worker->record.id];
+    AddStart(candidate, index, task.run + 1, *room);
     if (rack.empty()) continue;
     ++(room->worker->record.rack() == rack ? near_counts_.near_starts : near_counts_.far_starts);
-    AddStart(candidate, index, task.run + 1, *room);
   }
 }
 
@@ -388,6 +387,7 @@
   if (run.assigned > 0) return;  // some tasks of the gang's latest run have not ended
   if (unapplied_.CountOfStep(candidate.job->id, candidate.occurrence, candidate.step) > 0) return;
   const auto held = [&](const Task& task) { return task.held(input_.wall_ms); };
+  if (std::ranges::any_of(run.tasks, held)) return;
   const std::string rack = NearRack(candidate);
   if (rack.empty()) {
     PlaceGangOn(candidate, {});
@@ -400,7 +400,6 @@
 
 bool PlanWalk::PlaceGangOn(const Candidate& candidate, const std::string& rack) {
   const StepRun& run = candidate.Run();
-  if (std::ranges::any_of(run.tasks, held)) return;
   const Step& step = candidate.Spec();
   const std::size_t first_start = starts_.size();
   const Resources used_before = candidate.team->used;
@@ -421,12 +420,13 @@
       }
       starts_.resize(first_start);
       candidate.team->used = used_before;
-      return;
+      return false;
     }
     chosen.push_back(room);
     ++per_worker[room->worker->record.id];
     AddStart(candidate, index, last_run + 1, *room);
   }
+  return true;
 }
 
 bool PlanWalk::IsOpenFor(const Candidate& candidate, const WorkerRoom& room) {
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -99,6 +99,8 @@
   std::map<std::string, UnplaceableStep> TakeUnplaceable() { return std::move(unplaceable_); }
   /// Whether the plan ended because it had as many starts as it may have.
   bool full() const { return full_; }
+  const NearCounts& near_counts() const { return near_counts_; }
+  std::size_t share_starts() const { return share_starts_; }
 
  private:
   /// The next step to examine of one service.
@@ -114,11 +116,32 @@
   void Examine(Cursor& cursor);
   /// Starts the steps of the service that have waited for long, as far as their share goes.
   void StartOverdue(const Cursor& of_service);
+
+  /// A team that has steps waiting.
+  struct TeamTurn {
+    TeamShare share;
+    std::optional<WaitingKey> last;  // the last step that was examined
+    int misses = 0;                  // examined steps that found no room
+  };
+  /// If teams crowd the others, starts the steps that can be in time in the usual order, but for
+  /// those that the crowding teams have beyond their shares.
+  void StartWithinShares(const Cursor& of_service);
+  /// Returns the teams that have steps waiting, jobs without a team included; nothing if there is
+  /// room for all or no team crowds the others.
+  std::vector<TeamTurn> DivideAmongTeams(const Cursor& of_service);
+  /// Returns the team with the next step to start; null if none is left. Sets `key` to the step.
+  static TeamTurn* NextTurn(const ServiceQueue& queue, std::vector<TeamTurn>& turns,
+                            WaitingKey& key);
+  /// Examines the step. Returns what the starts that this led to reserve.
+  Resources ExamineForShare(const Cursor& of_service, const WaitingKey& key);
   Candidate MakeCandidate(const Cursor& cursor, const Job& job);
   ServiceRoom& RoomOf(const std::string& service);
   TeamUsage* TeamOf(const Job& job);
   void Place(const Candidate& candidate);
   void PlaceGang(const Candidate& candidate);
+  /// Plans the starts of all tasks of the gang, on workers of the rack if it is not empty. Returns
+  /// false if they do not all have room.
+  bool PlaceGangOn(const Candidate& candidate, const std::string& rack);
   /// Whether the task has a worker for itself, if one can be found.
   bool StartsAlone(const Candidate& candidate, const Task& task) const;
   /// Plans the start of a suspect on an empty worker, or keeps a worker for it.
@@ -127,6 +150,7 @@
   void KeepWorker(const Candidate& candidate);
   /// Whether the worker may get tasks of the candidate that are not suspects.
   static bool IsOpenFor(const Candidate& candidate, const WorkerRoom& room);
+  /// Returns the best worker for a task, of the rack if `rack` is not empty; null if none has room.
   WorkerRoom* ChooseWorker(const Candidate& candidate,
                            const std::map<WorkerId, std::uint32_t>& per_worker, bool last_attempt,
                            const std::string& rack);
@@ -149,27 +173,26 @@
   /// Number of the step's waiting tasks that the limit of the team allows.
   std::uint32_t CountWithinLimit(const Candidate& candidate) const;
 
-  /// Plans the starts of all tasks of the gang, on workers of the rack if it is not empty. Returns
-  /// false if they do not all have room.
-  bool PlaceGangOn(const Candidate& candidate, const std::string& rack);
   const State& state_;
   const PlanInput& input_;
   const UnappliedStarts& unapplied_;
   Isolation& isolation_;
+  NearWaits& near_waits_;
   const RankAnew rank_anew_;
   std::vector<Cursor> cursors_;
   std::unordered_map<std::string_view, ServiceRoom> rooms_;  // by service
   std::unordered_map<const KnownTeam*, TeamUsage> teams_;
-  /// Returns the best worker for a task, of the rack if `rack` is not empty; null if none has room.
   std::vector<Assign> starts_;
-  std::set<WaitingKey> overdue_started_;  // steps of which this plan has starts already
+  std::set<WaitingKey> started_;  // steps of which this plan has starts out of their order
   std::map<std::string, UnplaceableStep> unplaceable_;
-  int max_futile_ = 0;    // for each service
-  bool scanned_ = false;  // the last examination compared the room of all workers
+  int max_futile_ = 0;       // for each service
+  bool scanned_ = false;     // the last examination compared the room of all workers
+  bool waits_near_ = false;  // a task of the last examined step waits for a place near
+  NearCounts near_counts_;
+  std::size_t share_starts_ = 0;
   bool full_ = false;
 };
 
 }  // namespace godwitpaddle::jobs::detail
 
 #endif  // GODWITPADDLE_JOBS_PLAN_WALK_H_
-  NearWaits& near_waits_;
--- a/jobs/planner.cc
+++ b/jobs/planner.cc
@@ -60,7 +60,12 @@
 void StartPlanner::Remove(JobId id) {
   const auto found = positions_.find(id);
   if (found == positions_.end()) return;
-  for (const auto& [queue, key] : found->second) queue->waiting.erase(key);
+  for (const Position& position : found->second) {
+    position.queue->waiting.erase(position.key);
+    const auto of_team = position.queue->by_team.find(position.team);
+    of_team->second.erase(position.key);
+    if (of_team->second.empty()) position.queue->by_team.erase(of_team);
+  }
   positions_.erase(found);
 }
 
@@ -93,7 +98,8 @@
                            .occurrence = occurrence,
                            .step = step};
       waiting.waiting[key] = spec.footprint();
-      positions_[id].emplace_back(&waiting, key);
+      waiting.by_team[job->team_number].insert(key);
+      positions_[id].push_back({.queue = &waiting, .key = key, .team = job->team_number});
     }
   }
 }
@@ -125,6 +131,14 @@
   }
 }
 
+std::map<std::string, std::vector<TeamShare>> StartPlanner::ContendedShares(Micros now) const {
+  std::map<std::string, std::vector<TeamShare>> contended;
+  for (const auto& [service, queue] : queues_) {
+    if (!queue.shares.empty() && now - queue.lags_at <= kSecond) contended[service] = queue.shares;
+  }
+  return contended;
+}
+
 StartPlan StartPlanner::Plan(const PlanInput& input) {
   RankNextInTurn();
   while (!later_.empty() && later_.begin()->first <= input.wall_ms) {
@@ -139,6 +153,8 @@
                         [&](JobId id) { Update(id, input); });
   for (auto& [service, queue] : queues_) walk.Add(service, queue);
   StartPlan plan{.starts = walk.Run(), .full = walk.full()};
+  plan.near = walk.near_counts();
+  plan.share_starts = walk.share_starts();
   UpdateUnplaceable(walk.TakeUnplaceable(), input.now);
   for (const Assign& start : plan.starts) {
     unapplied_.Add(start, *state_.FindJob(start.task.job));
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -15,6 +15,7 @@
 
 #include "jobs/start_order.h"
 #include "jobs/state.h"
+#include "jobs/team_shares.h"
 #include "jobs/unapplied_starts.h"
 
 /// Chooses which waiting tasks start on which workers, from the replicated state and what the
@@ -42,7 +43,6 @@
   /// Whether workers that are not usable probably stay so for a while; if not, no step is named as
   /// unplaceable.
   bool knows_workers = true;
-};
   /// Returns the VMs that a service is to have for tasks that are not long-running, so that the
   /// beginning of a peak does not count as a lack of room; 0 if that is not known.
   std::function<double(const std::string&)> expected_vms;
@@ -56,10 +56,13 @@
   std::size_t near_starts = 0;
   std::size_t far_starts = 0;
   std::size_t waits = 0;  // tasks that began to wait for a place near
+};
 
 struct StartPlan {
   std::vector<Assign> starts;
   bool full = false;  // has as many starts as it may have; more may be possible
+  NearCounts near;
+  std::size_t share_starts = 0;  // starts by the teams' shares, while there was not room for all
 };
 
 /// Returns the time in milliseconds within which a job should complete after its acceptance, if
@@ -93,7 +96,12 @@
 
 /// The waiting steps of one service.
 struct ServiceQueue {
-  std::map<WaitingKey, Resources> waiting;  // with the footprint of one task
+  std::map<WaitingKey, Resources> waiting;             // with the footprint of one task
+  std::map<TeamNumber, std::set<WaitingKey>> by_team;  // 0: of jobs without a team
+  /// Lags of the teams' shares, see ShareAccount, as of `lags_at`. A new leader begins without.
+  std::map<TeamNumber, double> lags;
+  Micros lags_at = 0;
+  std::vector<TeamShare> shares;  // of the latest plan that found the service full, at `lags_at`
   /// The last plan stopped examining after this step; empty: it examined all.
   std::optional<WaitingKey> resume_after;
   /// Starts since the last one of an overdue job, by which overdue jobs get their share.
@@ -115,14 +123,6 @@
   Micros wanted = 0;  // time of the latest plan with a task that waited for it
 };
 
-/// The workers that suspects (see Task::suspect) have for themselves, and those kept for tasks.
-struct Isolation {
-  std::map<WorkerId, Trial> trials;
-  std::map<std::string, KeptWorker> kept;  // by service
-};
-
-}  // namespace detail
-
 /// A step that waits for a place near its data or its group.
 struct NearWait {
   Micros since = 0;
@@ -131,6 +131,14 @@
 /// By the first task of the step.
 using NearWaits = std::map<TaskId, NearWait>;
 
+/// The workers that suspects (see Task::suspect) have for themselves, and those kept for tasks.
+struct Isolation {
+  std::map<WorkerId, Trial> trials;
+  std::map<std::string, KeptWorker> kept;  // by service
+};
+
+}  // namespace detail
+
 /// Keeps the waiting steps in the order in which they are to start. It follows the changes of the
 /// state, so that the cost of a plan depends on what changed, on the starts that it makes and on
 /// the workers of the services that have waiting tasks, but not on the number of waiting jobs.
@@ -157,12 +165,18 @@
   StartPlan Plan(const PlanInput& input);
   /// The starts of earlier plans that are not applied yet.
   const UnappliedStarts& unapplied() const { return unapplied_; }
+  /// The shares of the teams in the services that the plans of the last second found full.
+  std::map<std::string, std::vector<TeamShare>> ContendedShares(Micros now) const;
   /// The first unplaceable step of the latest plans, by service. Long-running steps are not among
   /// them.
   const std::map<std::string, UnplaceableStep>& unplaceable() const { return unplaceable_; }
 
  private:
-  using Position = std::pair<detail::ServiceQueue*, detail::WaitingKey>;
+  struct Position {
+    detail::ServiceQueue* queue = nullptr;
+    detail::WaitingKey key;
+    TeamNumber team = 0;
+  };
 
   void Update(JobId id, const PlanInput& input);
   void Remove(JobId id);
@@ -182,10 +196,10 @@
   JobId last_in_turn_ = 0;                          // see RankNextInTurn
   UnappliedStarts unapplied_;
   detail::Isolation isolation_;
+  detail::NearWaits near_waits_;
   std::map<std::string, UnplaceableStep> unplaceable_;
 };
 
 }  // namespace godwitpaddle::jobs
 
 #endif  // GODWITPADDLE_JOBS_PLANNER_H_
-  detail::NearWaits near_waits_;
--- a/jobs/pool_plan.cc
+++ b/jobs/pool_plan.cc
@@ -18,10 +18,12 @@
 class MovePlan {
  public:
   MovePlan(std::vector<Pool> pools, const PoolPlanOptions& options, Micros now)
-      : pools_(std::move(pools)), options_(options), now_(now) {}
+      : pools_(std::move(pools)),
+        options_(options),
+        now_(now),
+        targets_(SetTargets(pools_, options)) {}
 
   std::vector<PoolMove> Make() {
-    SetTargets();
     for (Pool& pool : pools_) SortMovable(pool);
     while (Pool* receiver = FindReceiver()) {
       Pool* donor = FindDonor(*receiver);
@@ -33,25 +35,8 @@
   }
 
  private:
-  /// Sets each pool's target to its need, or to its share if there are fewer VMs than needed.
-  void SetTargets() {
-    int needed = 0;
-    int available = 0;
-    for (const Pool& pool : pools_) {
-      needed += NeededVms(pool, options_);
-      available += pool.vms;
-    }
-    scarce_ = needed > available;
-    for (const Pool& pool : pools_) {
-      const int need = NeededVms(pool, options_);
-      const int share = scarce_ && needed > 0 ? need * available / needed : need;
-      const int min_vms = std::max(options_.min_vms, pool.vms_for_waiting);
-      targets_[pool.service] = pool.standby ? 0 : std::max(share, min_vms);
-    }
-  }
-
   int Shortage(const Pool& pool) const {
-    return pool.standby ? 0 : targets_.at(pool.service) - pool.vms;
+    return pool.standby ? 0 : targets_.vms.at(pool.service) - pool.vms;
   }
 
   /// Returns the pool whose shortage is the largest share of its target; null if none is short.
@@ -61,9 +46,9 @@
     for (Pool& pool : pools_) {
       const int shortage = Shortage(pool);
       if (shortage <= 0) continue;
-      const double share = static_cast<double>(shortage) / targets_.at(pool.service);
+      const double share = static_cast<double>(shortage) / targets_.vms.at(pool.service);
       const bool has_waiting = pool.vms < pool.vms_for_waiting;
-      const double tolerance = scarce_ && !has_waiting ? kShortageTolerance : 0;
+      const double tolerance = targets_.scarce && !has_waiting ? kShortageTolerance : 0;
       if (share <= std::max(tolerance, largest_share)) continue;
       receiver = &pool;
       largest_share = share;
@@ -114,8 +99,7 @@
   std::vector<Pool> pools_;
   const PoolPlanOptions& options_;
   const Micros now_;
-  bool scarce_ = false;  // the pools together need more VMs than exist
-  std::map<std::string, int> targets_;
+  const PoolTargets targets_;
   std::vector<PoolMove> moves_;
 };
 
@@ -146,6 +130,24 @@
   return std::max({options.min_vms, pool.vms_for_waiting, for_cores});
 }
 
+PoolTargets SetTargets(const std::vector<Pool>& pools, const PoolPlanOptions& options) {
+  PoolTargets targets;
+  int needed = 0;
+  int available = 0;
+  for (const Pool& pool : pools) {
+    needed += NeededVms(pool, options);
+    available += pool.vms;
+  }
+  targets.scarce = needed > available;
+  for (const Pool& pool : pools) {
+    const int need = NeededVms(pool, options);
+    const int share = targets.scarce && needed > 0 ? need * available / needed : need;
+    const int min_vms = std::max(options.min_vms, pool.vms_for_waiting);
+    targets.vms[pool.service] = pool.standby ? 0 : std::max(share, min_vms);
+  }
+  return targets;
+}
+
 std::vector<PoolMove> PlanMoves(std::vector<Pool> pools, const PoolPlanOptions& options,
                                 Micros now) {
   return MovePlan(std::move(pools), options, now).Make();
--- a/jobs/pool_plan.h
+++ b/jobs/pool_plan.h
@@ -2,6 +2,7 @@
 #define GODWITPADDLE_JOBS_POOL_PLAN_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,14 @@
   int vms_for_waiting = 0;
   std::vector<PoolVm> movable;
   Micros surplus_since = 0;  // start of the present surplus of VMs; 0: no surplus
+  /// VMs in the pool that its long-running tasks take up, by the resource of which they use most.
+  double long_running_vms = 0;
+};
+
+/// The number of VMs that each pool is to have.
+struct PoolTargets {
+  std::map<std::string, int> vms;  // by service
+  bool scarce = false;             // the pools together need more VMs than exist
 };
 
 struct PoolMove {
@@ -58,6 +67,9 @@
 /// Returns the number of VMs that a pool needs; 0 for a standby pool.
 int NeededVms(const Pool& pool, const PoolPlanOptions& options);
 
+/// Returns the need of each pool, or its share if there are fewer VMs than needed.
+PoolTargets SetTargets(const std::vector<Pool>& pools, const PoolPlanOptions& options);
+
 /// Returns the moves to make now. VMs with running tasks must be drained before they move. The
 /// result depends on the arguments only.
 std::vector<PoolMove> PlanMoves(std::vector<Pool> pools, const PoolPlanOptions& options,
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -8,10 +8,11 @@
 namespace godwitpaddle::jobs {
 namespace {
 
-/// Nodes of earlier versions write and read the first six elements only.
-using Snapshot = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
-                            std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
-                            KnownQueues::Stored, KnownTeams::Stored>;
+/// Nodes of earlier versions write and read the first six or the first eight elements only.
+using Snapshot =
+    std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
+               std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
+               KnownQueues::Stored, KnownTeams::Stored, std::map<std::string, std::int64_t>>;
 
 /// Recorded VM orders older than this are dropped: they cannot affect the orders of a new leader.
 constexpr std::int64_t kVmOrderRetentionMs = 60'000;
@@ -20,21 +21,6 @@
 /// one for which the run was lost.
 constexpr std::int64_t kMaxExplainedMs = 15'000;
 
-/// Returns the length of the longest chain of dependent steps, by the client's estimates.
-std::int64_t CriticalPathMs(const JobSpec& spec) {
-  std::vector<std::int64_t> finish_ms(spec.steps.size(), 0);
-  std::int64_t longest = 0;
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    std::int64_t start_ms = 0;
-    for (const std::uint32_t dependency : spec.steps[i].depends_on) {
-      if (dependency < i) start_ms = std::max(start_ms, finish_ms[dependency]);
-    }
-    finish_ms[i] = start_ms + spec.steps[i].estimate_ms;
-    longest = std::max(longest, finish_ms[i]);
-  }
-  return longest;
-}
-
 bool FitsBesideTasks(const Job& job, const TaskId& id, const Worker& worker) {
   const Step& step = job.spec.steps[id.step];
   if (!(worker.used + step.footprint()).FitsInto(worker.record.capacity)) return false;
@@ -62,6 +48,20 @@
 
 }  // namespace
 
+std::int64_t CriticalPathMs(const JobSpec& spec) {
+  std::vector<std::int64_t> finish_ms(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    std::int64_t start_ms = 0;
+    for (const std::uint32_t dependency : spec.steps[i].depends_on) {
+      if (dependency < i) start_ms = std::max(start_ms, finish_ms[dependency]);
+    }
+    finish_ms[i] = start_ms + spec.steps[i].estimate_ms;
+    longest = std::max(longest, finish_ms[i]);
+  }
+  return longest;
+}
+
 std::int64_t DueMs(const Job& job, std::uint32_t occurrence) {
   if (job.spec.repeat_count == 0) return job.accepted_ms;
   return job.spec.first_due_ms + occurrence * job.spec.interval_ms;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -120,6 +120,7 @@
   // What the totals of the queue count for this job.
   bool counted_as_queued = false;
   double counted_core_ms = 0;
+  TeamLoad counted_load;
 
   bool active() const { return phase == JobPhase::kQueued || phase == JobPhase::kRunning; }
   StepRun& At(std::uint32_t occurrence, std::uint32_t step) {
@@ -130,6 +131,9 @@
   }
 };
 
+/// Returns the length of the longest chain of dependent steps, by the client's estimates.
+std::int64_t CriticalPathMs(const JobSpec& spec);
+
 /// Returns the Unix time in milliseconds from which the occurrence's objective counts. Those of a
 /// repeated job do not start before it.
 std::int64_t DueMs(const Job& job, std::uint32_t occurrence);
@@ -235,6 +239,14 @@
   /// Estimated work of open jobs by the present services of their queues, in core-milliseconds,
   /// without long-running, best-effort and repeated work. Running tasks count half.
   std::map<std::string, double> OpenCoreMs() const { return queues_.OpenCoreMs(); }
+  /// What the jobs of each team use and ask for of the service; 0: jobs without a team.
+  std::map<TeamNumber, TeamLoad> LoadsOf(const std::string& service) const {
+    return queues_.LoadsOf(service);
+  }
+  /// The team with this number; null if it is not known any more.
+  const KnownTeam* FindTeam(TeamNumber number) const { return teams_.FindByNumber(number); }
+  /// The team of the configuration that has the key; null if there is none.
+  const KnownTeam* FindTeamOfKey(const std::string& key) const { return teams_.FindByKey(key); }
   const std::map<WorkerId, Worker>& workers() const { return Scan(workers_); }
   std::size_t worker_count() const { return workers_.size(); }
   const Worker* FindWorker(const WorkerId& id) const;
@@ -242,6 +254,9 @@
   /// The workers that reported from the VM, in the order of their ids.
   const std::set<WorkerId>& WorkersOnVm(const VmId& vm) const;
   const std::map<WaveId, Wave>& waves() const { return waves_; }
+  /// The zones that tasks are kept out of, with the Unix time of the order.
+  const std::map<std::string, std::int64_t>& evacuated_zones() const { return evacuated_zones_; }
+  bool IsEvacuated(const std::string& zone) const { return evacuated_zones_.contains(zone); }
   /// The latest move or maintenance order of the VM; null if there is none. Orders older than a
   /// minute may be missing.
   const RecordVmOrder* FindVmOrder(const VmId& vm) const;
@@ -254,9 +269,6 @@
 
  private:
   /// Counts the records of the collection as scanned.
-  /// The zones that tasks are kept out of, with the Unix time of the order.
-  const std::map<std::string, std::int64_t>& evacuated_zones() const { return evacuated_zones_; }
-  bool IsEvacuated(const std::string& zone) const { return evacuated_zones_.contains(zone); }
   template <typename Collection>
   const Collection& Scan(const Collection& collection) const {
     scanned_ += collection.size();
@@ -264,6 +276,7 @@
   }
 
   ApplyOutcome ApplyOne(const Configure& command);
+  void ApplyZoneOrder(const ZoneOrder& order);
   ApplyOutcome ApplyOne(const Submit& command);
   ApplyOutcome ApplyOne(const Cancel& command);
   ApplyOutcome ApplyOne(const Assign& command);
@@ -276,7 +289,6 @@
 
   bool MayStart(const Job& job, const TaskId& id, const Worker& worker) const;
   Task* MutableTask(const TaskId& id);
-  void ApplyZoneOrder(const ZoneOrder& order);
   void Unassign(Job& job, const TaskId& id, Task& task);
   void ApplyCurrentEnd(Job& job, const TaskId& id, Task& task, const RecordEnd& end);
   /// Applies the end of an abandoned run that its worker has reported afterwards.
@@ -298,6 +310,8 @@
   void DropDetails(Job& job);
   /// Updates the indexes and totals that depend on the job.
   void UpdateIndexes(Job& job);
+  /// Updates what the job's queue counts for its team.
+  void UpdateLoad(Job& job);
   void UpdateStartable(const Job& job);
   /// Updates the worker's totals for a task that is assigned to it (sign 1) or no longer (sign -1).
   static void CountLongRunning(Worker& worker, const Step& step, int sign);
@@ -317,6 +331,7 @@
   std::map<WorkerId, Worker> workers_;
   std::map<VmId, RecordVmOrder> vm_orders_;
   std::map<WaveId, Wave> waves_;
+  std::map<std::string, std::int64_t> evacuated_zones_;
   std::int64_t newest_wall_ms_ = 0;  // latest Unix time of an applied Submit
   KnownQueues queues_;
   KnownTeams teams_;
@@ -331,7 +346,6 @@
   mutable std::uint64_t scanned_ = 0;
 };
 
-  std::map<std::string, std::int64_t> evacuated_zones_;
 }  // namespace godwitpaddle::jobs
 
 MSGPACK_ADD_ENUM(godwitpaddle::jobs::TaskPhase)
--- a/jobs/state_indexes.cc
+++ b/jobs/state_indexes.cc
@@ -46,6 +46,36 @@
   return open;
 }
 
+Resources Times(const Resources& one, std::size_t count) {
+  const auto times = static_cast<std::int64_t>(count);
+  return {.cpu = one.cpu * times,
+          .memory_mb = one.memory_mb * times,
+          .accelerators = one.accelerators * times};
+}
+
+/// Returns what the job uses and asks for.
+TeamLoad LoadOf(const Job& job) {
+  TeamLoad load;
+  const bool asks = job.active() && job.spec.repeat_count == 0;
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    const StepRun& run = job.steps[i];
+    const auto step_index = static_cast<std::uint32_t>(i % job.spec.steps.size());
+    const Step& step = job.spec.steps[step_index];
+    const Resources footprint = step.footprint();
+    load.used += Times(footprint, run.assigned);
+    if (!asks) continue;
+    const std::size_t waiting = run.tasks.size() - run.done - run.assigned;
+    if (HasStartableTask(job, 0, step_index)) load.waiting += Times(footprint, waiting);
+    if (step.long_running || step.best_effort_cpu) continue;
+    const double open_ms =
+        (static_cast<double>(waiting) + kRemainingRunFraction * static_cast<double>(run.assigned)) *
+        static_cast<double>(step.estimate_ms);
+    load.open_cpu_ms += open_ms * static_cast<double>(footprint.cpu);
+    load.open_memory_ms += open_ms * static_cast<double>(footprint.memory_mb);
+  }
+  return load;
+}
+
 /// Gives the tasks of each gang the same checkpoint: earlier versions kept one for each of them.
 void ShareGangCheckpoints(Job& job) {
   for (std::size_t i = 0; i < job.steps.size(); ++i) {
@@ -123,6 +153,18 @@
     queue.open_core_ms = std::max(0.0, queue.open_core_ms + core_ms - job.counted_core_ms);
     job.counted_core_ms = core_ms;
   }
+  UpdateLoad(job);
+}
+
+void State::UpdateLoad(Job& job) {
+  const TeamLoad load = LoadOf(job);
+  if (load == job.counted_load) return;
+  std::map<TeamNumber, TeamLoad>& loads = job.known_queue->loads;
+  TeamLoad& total = loads[job.team_number];
+  total += load;
+  total -= job.counted_load;
+  job.counted_load = load;
+  if (total == TeamLoad()) loads.erase(job.team_number);
 }
 
 void State::UpdateStartable(const Job& job) {
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -30,6 +30,7 @@
 
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
+  bool operator==(const Resources&) const = default;
   /// Returns whether each of the three amounts is at most that of `room`.
   bool FitsInto(const Resources& room) const;
 };
--- a/jobs/unapplied_starts.cc
+++ b/jobs/unapplied_starts.cc
@@ -12,11 +12,13 @@
                          .footprint = footprint,
                          .size = step.size,
                          .team = job.team_number,
+                         .service = State::QueueOf(job).service,
                          .long_running = step.long_running};
   UnappliedLoad& load = by_worker_[start.worker];
   ++load.starts;
   load.used += footprint;
   by_team_[job.team_number] += step.size;
+  footprints_[{job.team_number, State::QueueOf(job).service}] += footprint;
   if (!step.long_running) return;
   ++load.long_running_starts;
   load.long_running_used += footprint;
@@ -29,6 +31,7 @@
   const Start removed = std::move(found->second);
   starts_.erase(found);
   by_team_[removed.team] -= removed.size;
+  footprints_[{removed.team, removed.service}] -= removed.footprint;
   const auto load = by_worker_.find(removed.worker);
   load->second.used -= removed.footprint;
   if (removed.long_running) {
@@ -42,6 +45,7 @@
   starts_.clear();
   by_worker_.clear();
   by_team_.clear();
+  footprints_.clear();
 }
 
 const WorkerId* UnappliedStarts::WorkerOf(const TaskId& task) const {
@@ -72,4 +76,9 @@
   return found == by_team_.end() ? Resources() : found->second;
 }
 
+Resources UnappliedStarts::FootprintOf(TeamNumber team, const std::string& service) const {
+  const auto found = footprints_.find({team, service});
+  return found == footprints_.end() ? Resources() : found->second;
+}
+
 }  // namespace godwitpaddle::jobs
--- a/jobs/unapplied_starts.h
+++ b/jobs/unapplied_starts.h
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "jobs/commands.h"
 #include "jobs/state.h"
@@ -39,6 +41,8 @@
   bool HasStartOn(const WorkerId& worker) const { return by_worker_.contains(worker); }
   /// Returns what the planned starts add to the usage of the team.
   Resources UsageOf(TeamNumber team) const;
+  /// Returns what the planned starts of the team's jobs reserve on workers of the service.
+  Resources FootprintOf(TeamNumber team, const std::string& service) const;
 
  private:
   struct Start {
@@ -47,12 +51,14 @@
     Resources footprint;
     Resources size;
     TeamNumber team = 0;
+    std::string service;
     bool long_running = false;
   };
 
   std::map<TaskId, Start> starts_;
   std::unordered_map<WorkerId, UnappliedLoad> by_worker_;
   std::unordered_map<TeamNumber, Resources> by_team_;
+  std::map<std::pair<TeamNumber, std::string>, Resources> footprints_;  // by team and service
 };
 
 }  // namespace godwitpaddle::jobs
--- a/tests/pool_replay.cc
+++ b/tests/pool_replay.cc
@@ -8,6 +8,7 @@
 
 #include "base/random.h"
 #include "jobs/demand.h"
+#include "jobs/job_admission.h"
 
 namespace godwitpaddle::testing {
 namespace {
@@ -26,6 +27,7 @@
   std::int64_t objective_ms = 0;
   double work = 0;  // in core-milliseconds
   std::int64_t ended_ms = -1;
+  bool refused = false;
 };
 
 struct Running {
@@ -75,7 +77,10 @@
     while (arrived_ < jobs_.size() || !running_.empty()) {
       now_ = NextEvent();
       std::erase_if(running_, [this](const Running& run) { return FinishIfDue(run); });
-      while (arrived_ < jobs_.size() && jobs_[arrived_].job->at_ms <= now_) ++arrived_;
+      while (arrived_ < jobs_.size() && jobs_[arrived_].job->at_ms <= now_) {
+        jobs_[arrived_].refused = options_.refuses && IsRefused(arrived_);
+        ++arrived_;
+      }
       StartTasks();
     }
     Summarise();
@@ -137,10 +142,36 @@
     return true;
   }
 
+  /// Whether the job would be refused, by the declared work of those accepted before it.
+  bool IsRefused(std::size_t index) const {
+    const RecordedJob& job = *jobs_[index].job;
+    const double factor = demand_.EstimateFactor(job.queue);
+    double ahead = 0;
+    for (std::size_t i = 0; i < index; ++i) {
+      if (jobs_[i].ended_ms >= 0 || jobs_[i].refused) continue;
+      const auto& steps = jobs_[i].job->steps;
+      for (std::size_t step = 0; step < steps.size(); ++step) {
+        // Running tasks count half.
+        const double open =
+            steps[step].count - (jobs_[i].started[step] + jobs_[i].done[step]) / 2.0;
+        ahead += open * static_cast<double>(steps[step].size.cpu * steps[step].estimate_ms);
+      }
+    }
+    const std::vector<std::uint32_t> none(job.steps.size(), 0);
+    const double path = factor * static_cast<double>(CriticalPathMs(job, DeclaredTimes(job), none));
+    return !jobs::DecideAdmission(
+                {.ahead_vm_ms = factor * ahead / static_cast<double>(options_.vm_cpu),
+                 .team_vms = static_cast<double>(options_.vms),
+                 .critical_path_ms = path,
+                 .objective_ms = static_cast<double>(Objective(static_cast<std::int64_t>(path))),
+                 .crowding = options_.crowding})
+                .admitted;
+  }
+
   void StartTasks() {
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < arrived_; ++i) {
-      if (jobs_[i].ended_ms < 0) AddSteps(i, candidates);
+      if (jobs_[i].ended_ms < 0 && !jobs_[i].refused) AddSteps(i, candidates);
     }
     std::ranges::stable_sort(candidates, {}, &Candidate::rank);
     for (const Candidate& candidate : candidates) {
@@ -199,14 +230,20 @@
     for (const OpenJob& job : jobs_) {
       const double size = job.work / all_work * result_.jobs;
       const double value = std::min(kMaxValue, kMinValue + (1 - kMinValue) * size);
+      total_value += value;
+      if (job.refused) {
+        ++result_.refused;
+        by_size.emplace_back(size, false);
+        continue;
+      }
       const std::int64_t took = job.ended_ms - job.job->at_ms;
       const bool in_time = took <= job.objective_ms;
       const bool late = !in_time && took <= jobs::kExpiredFactor * job.objective_ms;
-      total_value += value;
       if (in_time) result_.value_share += value;
       if (late) result_.value_share += kLateValue * value;
       result_.in_time += in_time ? 1 : 0;
       result_.late += late ? 1 : 0;
+      result_.in_vain += in_time || late ? 0 : 1;
       by_size.emplace_back(size, in_time);
     }
     result_.value_share /= total_value;
--- a/tests/pool_replay.h
+++ b/tests/pool_replay.h
@@ -26,12 +26,16 @@
   double task_spread = 0.3;       // the same for the ratio of a task's time to its step's time
   std::uint64_t seed = 1;
   std::function<jobs::StartRank(const jobs::WaitingStep&, std::int64_t)> order = jobs::RankOf;
+  bool refuses = false;  // whether jobs are refused as jobs::DecideAdmission says
+  double crowding = 1;   // see jobs::JobOutlook
 };
 
 struct ReplayResult {
   int jobs = 0;
-  int in_time = 0;                   // completed within their objectives
-  int late = 0;                      // completed later, within `jobs::kExpiredFactor` objectives
+  int in_time = 0;  // completed within their objectives
+  int late = 0;     // completed later, within `jobs::kExpiredFactor` objectives
+  int in_vain = 0;  // completed later still
+  int refused = 0;
   double value_share = 0;            // value of the completed jobs as a share of the value of all
   double largest_tenth_in_time = 0;  // share completed in time of the largest tenth of the jobs
 };
