Let the job soak wait for the accepted jobs of crowds

The log shows a backlog of 1,005 jobs that is worked off at 20 jobs a second without a pause: crowds of 300 jobs arrive in one batch of the log, so each is accepted whole, and the final wait of 30 s was shorter than what had been accepted.

Change: with crowds the final check waits until no job is open, 60 s at most.

--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -40,6 +40,9 @@
 constexpr std::uint64_t kFinalStepsWithoutWaves = 300;
 constexpr Micros kMaxFaultChange = 5 * kSecond;
 constexpr Micros kRecoveryTime = 40 * kSecond;
+/// Longest time that the accepted jobs of crowds take. The leader accepts work for ten objectives,
+/// that is 18 s, and all of a crowd that arrives before the first of it is in the log.
+constexpr Micros kCrowdTime = 60 * kSecond;
 
 /// The answers that clients received about one job.
 struct KnownJob {
@@ -613,9 +616,14 @@
 }
 
 void Soak::CheckFinalState() {
-  if (!cluster_.RunUntilTrue([&] { return cluster_.Leader().has_value(); }, 10 * kSecond)) {
+  const auto has_leader = [&] { return cluster_.Leader().has_value(); };
+  if (!cluster_.RunUntilTrue(has_leader, 10 * kSecond)) {
     return cluster_.AddViolation("no leader after all faults have ceased");
   }
+  const auto no_open_jobs = [&] {
+    return has_leader() && cluster_.state(*cluster_.Leader()).open_job_count() == 0;
+  };
+  if (options_.crowds) cluster_.RunUntilTrue(no_open_jobs, kCrowdTime);
   const jobs::Answer configuration = cluster_.CallAndWait(0, jobs::ReadConfigurationCall{});
   if (configuration.code != AnswerCode::kOk ||
       std::stoull(configuration.text) < acknowledged_version_) {
