Refuse a crowding team's jobs from three objectives on

Cause: two definitions of a crowd, by accepted work in admission and by what is wanted in plans, and a limit of six objectives.

Change: admission asks the same division as plans whether the team crowds the others, and refuses from three objectives on, after which a job is of no use.

--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -190,8 +190,6 @@
   if (team == nullptr || room == nullptr || !bounded || !MayRefuse(job)) return std::nullopt;
   std::vector<TeamDemand> demands;
   double ahead_vm_ms = 0;
-  double others_vm_ms = 0;
-  double others_weight = 0;
   const double factor = demand_.EstimateFactor(queue.service);
   for (const auto& [number, load] : state_.LoadsOf(queue.service)) {
     const KnownTeam* one = state_.FindTeam(number);
@@ -200,14 +198,11 @@
                        .weight = one->team.weight,
                        .used = load.used,
                        .wanted = load.used + load.waiting});
-    const double work_vm_ms = factor * WorkInVmMs(load, room->vm);
-    if (one == team) {
-      ahead_vm_ms = work_vm_ms;
-    } else {
-      others_vm_ms += work_vm_ms;
-      others_weight += one->team.weight;
-    }
+    if (one == team) ahead_vm_ms = factor * WorkInVmMs(load, room->vm);
   }
+  const std::vector<TeamShare> shares = DivideService(demands, room->vms, room->vm);
+  const bool crowds = std::ranges::any_of(
+      shares, [&](const TeamShare& share) { return share.crowds && share.team == team->number; });
   const double path_ms = factor * static_cast<double>(CriticalPathMs(call.spec));
   const AdmissionVerdict verdict = DecideAdmission(
       {.ahead_vm_ms = ahead_vm_ms,
@@ -215,9 +210,7 @@
        .room_delay_ms = static_cast<double>(room->delay) / kMillisecond,
        .critical_path_ms = path_ms,
        .objective_ms = static_cast<double>(queue.target_latency_ms) + queue.stretch * path_ms,
-       .crowding = others_vm_ms <= 0
-                       ? 1
-                       : ahead_vm_ms * others_weight / (others_vm_ms * team->team.weight)});
+       .crowds = crowds});
   if (verdict.admitted) return std::nullopt;
   ++refused_[team->number];
   out.Count("jobs_refused_no_room_total");
--- a/jobs/job_admission.h
+++ b/jobs/job_admission.h
@@ -13,9 +13,7 @@
   double room_delay_ms = 0;     // until that room is there
   double critical_path_ms = 0;  // of the job
   double objective_ms = 0;
-  /// Accepted work of the team, as a multiple of what the other teams have by weight; 1 if they
-  /// have none.
-  double crowding = 1;
+  bool crowds = false;  // the team crowds the others, see TeamShare
 };
 
 struct AdmissionVerdict {
@@ -24,12 +22,12 @@
   double retry_after_ms = 0;  // of a refused job: until one like it will probably be accepted
 };
 
-/// Refuses a job of a team that crowds the others (see kCrowdFactor) if it would take longer than
-/// kExpiredFactor times its objective even with twice the room that the team can expect now. While
-/// all teams send more than there is room for, no job is refused for it, as long as the backlog is
-/// not hopeless: jobs that are expected to be late may still be in time, if they are small or
-/// others are cancelled. The work ahead is counted as if all of it came first, though late jobs
-/// come last, and the room as if none of it were broken up, so the estimate errs to both sides.
+/// Refuses a job of a team that crowds the others if it is expected to take longer than
+/// kExpiredFactor times its objective. While all teams send more than there is room for, no job is
+/// refused for it, as long as the backlog is not hopeless: jobs that are expected to be late may
+/// still be in time, if they are small or others are cancelled. The work ahead is counted as if all
+/// of it came first, though late jobs come last, and the room as if none of it were broken up, so
+/// the estimate errs to both sides.
 AdmissionVerdict DecideAdmission(const JobOutlook& outlook);
 
 }  // namespace godwitpaddle::jobs
