--- a/decision/admission.cc
+++ b/decision/admission.cc
@@ -100,8 +100,8 @@
   double used = 0;
   for (const TeamState& other : state.teams) {
     used += other.share.used;
-    if (&other != &team && (other.queued > 0 || other.share.used > 0))
-      weights += other.share.weight;
+    const bool competes = &other != &team && (other.queued > 0 || other.share.used > 0);
+    if (competes) weights += other.share.weight;
   }
   // Urgent requests take the first slots that become free in the whole pool.
   const bool urgent = request.request.priority == Priority::kUrgent &&
--- a/tests/lost_leader_calls_test.cc
+++ b/tests/lost_leader_calls_test.cc
@@ -34,8 +34,8 @@
     }
     std::vector<Answer> answers;
     for (const Effect& effect : out.effects) {
-      if (const auto* answer = std::get_if<AnswerEffect>(&effect))
-        answers.push_back(answer->answer);
+      const auto* sent = std::get_if<AnswerEffect>(&effect);
+      if (sent != nullptr) answers.push_back(sent->answer);
     }
     return answers;
   }
