--- a/review/standins-3/fleet3.py
+++ b/review/standins-3/fleet3.py
@@ -436,6 +436,18 @@
         self.record(f"process {name} gets {signal.Signals(number).name}")
         self.processes[name].send_signal(number)
 
+    def leader(self):
+        """The core node that began to lead last, by the logs."""
+        began = {}
+        for name in self.cores:
+            with open(os.path.join(self.folder, f"{name}.log"), errors="replace") as log:
+                for line in log:
+                    if "event=leadership_began" in line:
+                        began[name] = int(line.split(" term=")[1].split()[0])
+        if not began:
+            raise CannotRun("no core node leads")
+        return max(began, key=began.get)
+
     def shuffled_cores(self):
         nodes = [f"{host}:8345" for host in self.cores.values()]
         random.shuffle(nodes)
