--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,43 +1,59 @@
-"""A job whose cancelling is refused with 404 works on, since its queue left the manifest."""
+"""The leader is killed; clients cancel what they have just sent, and get 410. The jobs run."""
 
 import asyncio
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
-from fleet3 import BROKEN, HELD, CannotRun, main, make_job, make_manifest, new_id  # noqa: E402
+from fleet3 import BROKEN, HELD, main, make_job, make_manifest, new_id  # noqa: E402
 
-CONFIG_APPLY_S, ACK_S, CANCEL_S, STOP_S = 2.0, 4.0, 3.0, 0.2  # of the site
-KEPT = ("audits", "/audits/", "dyeworks")
-DROPPED = ("quotes", "/quotes/", "quoting")
+CONTACT_S, CANCEL_S = 3.0, 3.0  # of the site
+GIVE_UP_S = 0.3  # half of target_latency_ms
+RESTART_S = 1.0
+JOBS = 20
+
+
+async def hand_in_and_cancel(fleet, job):
+    """Hands a job in once. Without an answer for GIVE_UP_S, or after it, cancels the job by another
+    edge until that is acknowledged. Returns the answers, and when the cancelling was acknowledged."""
+    post = asyncio.create_task(
+        fleet.client("POST", f"/quotes/{job}", make_job(ms=1000, cpu=500, steps=14), edge=0))
+    await asyncio.sleep(GIVE_UP_S)
+    while True:
+        cancel, _ = await fleet.client("DELETE", f"/quotes/{job}", edge=1)
+        acknowledged = fleet.record.now()
+        if 200 <= cancel < 300 or cancel == 410:
+            return job, (await post)[0], cancel, acknowledged
+        await asyncio.sleep(0.2)
 
 
 async def play(fleet, trouble):
-    await fleet.start(make_manifest(1, [KEPT, DROPPED]))
-    job = new_id()
-    await fleet.submit(f"/quotes/{job}", make_job(count=2, ms=2000, steps=20))
-    if not await fleet.wait(lambda: any(one[1].startswith(job) for one in fleet.starts), 10):
-        raise CannotRun("the job does not start")
-    # The change and its neighbour: the one drops the queue, the other only gives a version.
-    await fleet.configure(make_manifest(2, [KEPT] if trouble else [KEPT, DROPPED]))
-    await asyncio.sleep(CONFIG_APPLY_S)
-    first = fleet.record.now()
-    acknowledged = None
-    tries = 0
-    while acknowledged is None and fleet.record.now() < first + ACK_S:
-        status, _ = await fleet.client("DELETE", f"/quotes/{job}", edge=tries % 2)
-        tries += 1
-        if 200 <= status < 300 or status == 410:
-            acknowledged = fleet.record.now()
-            break
-        await asyncio.sleep(0.4)
-    # "acknowledged (or had waited ack_ms of steady state for its ack)"
-    counts_from = (acknowledged or first + ACK_S) + CANCEL_S
-    await asyncio.sleep(counts_from + STOP_S + 6 - fleet.record.now())
-    late = [one for one in fleet.starts if one[1].startswith(job) and one[0] > counts_from]
-    fleet.record(f"cancelled first at {first:.3f}, acknowledged at {acknowledged}, starts of the "
-                 f"job after {counts_from:.3f}: {len(late)}")
-    return BROKEN if late else HELD
+    await fleet.start(make_manifest(1, [("quotes", "/quotes/", "quoting")]))
+    disturbed = fleet.record.now()
+    if trouble:
+        leader = fleet.leader()
+        fleet.signal(leader, signal.SIGKILL)
+    calls = []
+    for _ in range(JOBS):
+        await asyncio.sleep(0.01)
+        calls.append(asyncio.create_task(hand_in_and_cancel(fleet, new_id())))
+    if trouble:
+        await asyncio.sleep(max(0, disturbed + RESTART_S - fleet.record.now()))
+        fleet.start_process(leader)
+        disturbed = fleet.record.now()
+    results = await asyncio.gather(*calls)
+    await asyncio.sleep(CONTACT_S + CANCEL_S + 4)
+    broken = 0
+    for job, post, cancel, acknowledged in results:
+        # The leader is in touch from CONTACT_S after the last event at the core.
+        counts_from = max(acknowledged + CANCEL_S, disturbed + CONTACT_S)
+        late = [one for one in fleet.starts if one[1].startswith(job) and one[0] > counts_from]
+        broken += bool(late)
+        fleet.record(f"job {job}: POST {post}, DELETE {cancel} at {acknowledged:.3f}, starts after "
+                     f"{counts_from:.3f}: {len(late)}")
+    fleet.record(f"{broken} of {JOBS} jobs were started on after their cancelling was acknowledged")
+    return BROKEN if broken else HELD
 
 
 main(__file__, play)
--- a/review/standins-3/fleet3.py
+++ b/review/standins-3/fleet3.py
@@ -21,7 +21,8 @@
 ZONES = ["za", "zb", "zc", "zd"]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 BOUNDS = {"heartbeat_ms": 1500, "hold_max_ms": 10000, "stop_ms": 200, "lease_ms": 3000,
-          "status_s": 120, "maintenance_s": 2, "move_s": 1.5, "far_factor": 3}
+          "status_s": 120, "maintenance_s": 2, "move_s": 1.5, "far_factor": 3,
+          "gang_timeout_ms": 3000}
 
 
 class CannotRun(Exception):
@@ -261,11 +262,19 @@
         run = Run(task, number, spec, order.get("checkpoint", ""))
         self.running[task] = run
         self.fleet.on_start(self, run)
-        if not spec.get("lasts"):
+        if spec.get("gang"):
+            self.fleet.gather(self, run)
+        elif not spec.get("lasts"):
             run.timer = asyncio.get_running_loop().call_later(
                 spec["ms"] / 1000, lambda: self.finish(run, "done"))
         return 200, {"clock_ms": self.clock()}
 
+    def cut_off(self, run):
+        """A run of a gang ends with the run of another member."""
+        if run.timer:
+            run.timer.cancel()
+        self.finish(run, "broken")
+
     def stop_run(self, order):
         task, number = order["task"], order["run"]
         self.highest[task] = max(number, self.highest.get(task, 0))
@@ -344,6 +353,7 @@
         self.record = Record(os.path.join(case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="godwitpaddle-review-")
         self.processes = {}
+        self.gangs = {}  # (step, run): members that are present
         self.starts, self.ends = [], []  # (time, task, run, worker id[, how])
         self.prefix = self.find_free_hosts()
         self.cores = {f"core-{i + 1}": f"{self.prefix}.{10 + i}" for i in range(cores)}
@@ -522,6 +532,32 @@
         self.starts.append((self.record.now(), run.task, run.run, worker.vm))
         self.record(f"run {run.task}/{run.run} starts on {worker.vm}")
 
+    def gather(self, worker, run):
+        """The members of a gang work once all of one run are present, and end `done` together."""
+        loop = asyncio.get_running_loop()
+        key = (run.task.rpartition(".")[0], run.run)
+        members = self.gangs.setdefault(key, [])
+        members.append((worker, run))
+        if len(members) < run.spec["gang"]:
+            run.timer = loop.call_later(BOUNDS["gang_timeout_ms"] / 1000,
+                                        lambda: worker.finish(run, "alone"))
+            return
+        for _, one in members:
+            if one.timer:
+                one.timer.cancel()
+            one.timer = None
+        self.record(f"gang {key[0]}/{key[1]} is complete")
+        loop.call_later(run.spec["ms"] / 1000, lambda: self.end_gang(key))
+
+    def end_gang(self, key):
+        members = self.gangs.pop(key, [])
+        present = all(one.running.get(run.task) is run for one, run in members)
+        for one, run in members:
+            if present:
+                one.finish(run, "done")
+            else:
+                one.cut_off(run)
+
     def on_end(self, worker, run, how):
         self.ends.append((self.record.now(), run.task, run.run, worker.vm, how))
         self.record(f"run {run.task}/{run.run} ends on {worker.vm}: {how}")
@@ -564,6 +600,8 @@
     spec = {"ms": ms, "cpu": cpu, "mem": mem}
     if fields.get("long_running"):
         spec["lasts"] = True
+    if fields.get("gang"):
+        spec["gang"] = count
     step = {"count": count, "cpu": cpu, "mem_mb": mem, "estimate_ms": ms, **fields}
     return {"spec": json.dumps(spec),
             "steps": [{**step, **({"depends_on": [i - 1]} if i else {})} for i in range(steps)]}
