Review case 12: a job fails whose work item has never begun

Seen: three workers go dark in turn, for 3 s each, as a job's start is sent to them; no worker ever begins its work item, and the job is shown as failed. Rule: LOST, only ends failed count as attempts. Cause: State::MarkCrash counts a crash for each assigned task, also for runs that were never begun.

--- a/review/standins-3/fleet3.py
+++ b/review/standins-3/fleet3.py
@@ -69,6 +69,7 @@
         self.host, self.port, self.handle = host, port, handle
         self.writers = set()
         self.server = None
+        self.silent = False  # what arrives is lost, and nothing is answered
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -78,9 +79,13 @@
         try:
             while (message := await read_message(reader)) is not None:
                 (method, path, *_), headers, body = message
+                if self.silent:
+                    continue
                 answer = await self.handle(method, path, headers, body)
                 if answer is None:
                     break
+                if self.silent:
+                    continue
                 status, content = answer
                 text = json.dumps(content).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
@@ -148,7 +153,7 @@
 
     async def start(self, same_id=False):
         if not same_id or self.id is None:
-            self.id = "i-%08x" % random.getrandbits(32)
+            self.id = self.fleet.next_worker_id()
         self.lives += 1
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
@@ -177,6 +182,23 @@
         self.running = {}
         self.fleet.record(f"worker {self.id} on {self.vm} ends: {why}")
 
+    async def go_dark(self, seconds):
+        """The machine loses power: all goes silent at once, without a reset. It is back after
+        `seconds` with a new worker."""
+        self.up = False
+        for task in self.tasks:
+            task.cancel()
+        self.server.silent = True
+        for run in list(self.running.values()):
+            self.fleet.on_end(self, run, "crash")
+            if run.timer:
+                run.timer.cancel()
+        self.running = {}
+        self.fleet.record(f"worker {self.id} on {self.vm} goes dark")
+        await asyncio.sleep(seconds)
+        await self.server.stop()
+        await self.start()
+
     def clock(self):
         return int((time.monotonic() - self.began) * 1000)
 
@@ -353,6 +375,7 @@
         self.record = Record(os.path.join(case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="godwitpaddle-review-")
         self.processes = {}
+        self.last_worker = 0
         self.gangs = {}  # (step, run): members that are present
         self.starts, self.ends = [], []  # (time, task, run, worker id[, how])
         self.prefix = self.find_free_hosts()
@@ -370,6 +393,10 @@
                                           {"cpu": 64000, "mem_mb": 131072, "gpu": 0})
                 number += 1
 
+    def next_worker_id(self):
+        self.last_worker += random.randrange(1, 1 << 16)
+        return f"i-{self.last_worker:08x}"
+
     @staticmethod
     def find_free_hosts():
         for _ in range(50):
