Do not look up runs of an ended gang in a job without details

Cause: the end of one task ends the whole gang in the state, and a completed job keeps no details. The leader keeps the other runs until their workers list them, and read their tasks without a check: for the crash mark of an inherited run, and, without any change of leader, for the checkpoint of a start that is sent again.

Change: IsCurrent says whether the state has the run. An inherited run that it does not have had started with its gang; a start of one is not sent again, the run is stopped. Ruled out by reading: the other uses of FindTask and FindJob without a check go over assigned tasks.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -41,13 +41,6 @@
   return static_cast<Micros>(static_cast<double>(lease_ms * kMillisecond) / kSlowestClock);
 }
 
-/// Whether the state has the task assigned to this worker in this run.
-bool IsCurrentRun(const State& state, const RecordEnd& end) {
-  const Task* task = state.FindTask(end.task);
-  return task != nullptr && task->phase == TaskPhase::kAssigned && task->run == end.run &&
-         task->worker == end.worker;
-}
-
 }  // namespace
 
 void WorkerFleet::BeginTerm(std::uint64_t fencing_token, Micros now, WallMs wall) {
@@ -328,8 +321,10 @@
   }
   for (const auto& [task, run] : view.runs) {
     if (view.known->tasks.contains(task)) continue;
-    // The end of one task of a gang ends the others in the state before their workers list it.
+    // The end of one task of a gang ends the others in the state before their workers list it. Only
+    // so can a job without details have runs.
     const Job* job = state_.FindJob(task.job);
+    if (job != nullptr && job->spec.steps.empty()) continue;
     const bool has_step = job != nullptr && task.step < job->spec.steps.size();
     if (has_step && job->spec.steps[task.step].gang) continue;
     mismatches.push_back({.worker = worker, .task = task, .known_run = run.run});
@@ -410,7 +405,7 @@
     if (view == nullptr) return;
     const auto run = view->runs.find(end->task);
     if (run == view->runs.end() || run->second.run != end->run) return;
-    if (outcome == ApplyOutcome::kRejected && IsCurrentRun(state_, *end)) {
+    if (outcome == ApplyOutcome::kRejected && IsCurrent(end->worker, end->task, end->run)) {
       // Listed by an incarnation that another one had replaced in the log before.
       run->second.end_proposed = false;
       view->runs_due = 0;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -315,6 +315,11 @@
   /// Concludes the runs that the run lists in the reply prove to have ended or never started.
   void ConcludeUnlisted(const SentOrder& sent, WorkerView& view, const OrderReply& reply,
                         WallMs wall, Outbox& out);
+  /// Whether the state has the task assigned to this worker in this run. Not so if the end of
+  /// another task of its gang has ended the run: its job may keep no details then.
+  bool IsCurrent(const WorkerId& worker, const TaskId& task, std::uint32_t run) const;
+  /// Whether an inherited run that its worker does not list had started there.
+  bool HadStartedBefore(const WorkerId& worker, const TaskId& task, const Run& run) const;
   /// Proposes the run's end, which the worker did not list, with the given reason.
   void Conclude(const WorkerId& worker, WorkerView& view, const TaskId& task, Run& run,
                 Conclusion conclusion, WallMs wall, Outbox& out);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -285,9 +285,9 @@
     if (run.phase == RunPhase::kInherited) {
       // The worker answered this list under this leader's fencing token, so it can no longer carry
       // out the earlier leader's start. A previous incarnation that crashed may have done so.
-      const bool crashed = state_.FindTask(task)->crash != CrashMark::kNone;
+      const bool had_started = HadStartedBefore(sent.worker, task, run);
       Conclude(sent.worker, view, task, run,
-               crashed ? Conclusion::kUnlisted : Conclusion::kNeverSent, wall, out);
+               had_started ? Conclusion::kUnlisted : Conclusion::kNeverSent, wall, out);
     } else if (stopped || unlisted) {
       Conclude(sent.worker, view, task, run, stopped ? Conclusion::kStopped : Conclusion::kUnlisted,
                wall, out);
@@ -295,6 +295,19 @@
   }
 }
 
+bool WorkerFleet::IsCurrent(const WorkerId& worker, const TaskId& task, std::uint32_t run) const {
+  const Task* found = state_.FindTask(task);
+  return found != nullptr && found->phase == TaskPhase::kAssigned && found->run == run &&
+         found->worker == worker;
+}
+
+bool WorkerFleet::HadStartedBefore(const WorkerId& worker, const TaskId& task,
+                                   const Run& run) const {
+  // Ended through another task of its gang, which works only once all have started.
+  if (!IsCurrent(worker, task, run.run)) return true;
+  return state_.FindTask(task)->crash != CrashMark::kNone;
+}
+
 void WorkerFleet::Conclude(const WorkerId& worker, WorkerView& view, const TaskId& task, Run& run,
                            Conclusion conclusion, WallMs wall, Outbox& out) {
   if (run.end_proposed) return;
--- a/control/worker_schedule.cc
+++ b/control/worker_schedule.cc
@@ -157,6 +157,7 @@
       run.stop_wanted = true;
     }
     if (now >= NextSend(view, run)) {
+      if (!IsCurrent(worker, task, run.run)) run.stop_wanted = true;
       if (run.stop_wanted) {
         SendStop(worker, view, task, run, now, out);
       } else {
