Elect a leader also when votes take long to become durable

Cause, as far as shown: with syncs of 300 ms or more (a vote takes two) no leader is ever elected: candidates and voters start the next election before their votes are durable. That the users' disks were slow is not shown; other users, no HOME and 256 descriptors made no difference.

Change: no election starts while a vote is not durable, the timeout begins anew then, and while no leader is known it grows with the time of a vote and with failed elections.

--- a/control/core_node.cc
+++ b/control/core_node.cc
@@ -111,6 +111,7 @@
   replica_.Tick(now_, effects);
   ExecuteEffects(std::move(effects));
   JoinIfNeeded();
+  group_report_.Tick(replica_, waited_, now_, out_);
   // Replies that arrived before this tick have been handled: EventQueue keeps their order.
   for (const OrderEvent& failed : router_.TakeFailed(now_ - waited_, out_)) Handle(failed);
   gateway_.Tick(now_, out_);
@@ -164,6 +165,7 @@
 
 void CoreNode::Receive(const ReplicationFrame& frame) {
   if (frame.group != kGroup || frame.to != replica_id_) return;
+  group_report_.OnMessage(frame.from);
   replication::Effects effects;
   replica_.Receive(frame.from, frame.message, now_, effects);
   ExecuteEffects(std::move(effects));
--- a/control/core_node.h
+++ b/control/core_node.h
@@ -8,6 +8,7 @@
 
 #include "control/events.h"
 #include "control/gateway.h"
+#include "control/group_report.h"
 #include "control/leader.h"
 #include "control/order_relay.h"
 #include "control/order_router.h"
@@ -93,6 +94,7 @@
   Gateway gateway_;
   OrderRouter router_;
   OrderRelay relay_;
+  GroupReport group_report_;
   replication::Index applied_ = 0;
   Micros next_proposal_ = 0;
   Micros now_ = 0;
--- a/replication/election.cc
+++ b/replication/election.cc
@@ -1,13 +1,34 @@
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "replication/replica_impl.h"
 
 namespace godwitpaddle::replication {
 
+namespace {
+
+/// An election takes the candidate's and then a voter's time to make a vote durable. Until the
+/// request of a candidate with a disk like its own arrives, a voter waits for this many such times.
+constexpr double kVoteTimes = 1.5;
+/// Longest election timeout, as a multiple of the usual one.
+constexpr double kMaxTimeoutScale = 8;
+/// Votes may split once or twice by chance; further failures mean that the timeout is too short.
+constexpr int kChanceFailures = 2;
+
+}  // namespace
+
+double Replica::Impl::ElectionTimeoutScale() const {
+  const double for_disk =
+      kVoteTimes * static_cast<double>(slowest_vote) / static_cast<double>(options.election_min);
+  const double for_failures = std::exp2(std::max(0, failed_elections - kChanceFailures));
+  return std::clamp(std::max(for_disk, for_failures), 1.0, kMaxTimeoutScale);
+}
+
 void Replica::Impl::ResetElectionTimer() {
   const auto spread = static_cast<std::uint64_t>(options.election_max - options.election_min + 1);
-  election_at = now + options.election_min + static_cast<Micros>(UniformBelow(rng, spread));
+  const Micros timeout = options.election_min + static_cast<Micros>(UniformBelow(rng, spread));
+  election_at = now + static_cast<Micros>(static_cast<double>(timeout) * ElectionTimeoutScale());
 }
 
 void Replica::Impl::TickElection() {
@@ -16,6 +37,9 @@
     leader.reset();
     out->leadership_changed = true;
   }
+  // Before its vote is durable, a candidate cannot ask for others, and a voter cannot answer.
+  if (IsVotePending()) return;
+  if (state == State::kCandidate) ++failed_elections;
   ResetElectionTimer();
   // A voter whose removal is not committed yet takes part too: it may be the only one with the
   // longest log.
@@ -33,8 +57,7 @@
   BecomeFollower(term + 1, std::nullopt);
   state = State::kCandidate;
   voted_for = options.id;
-  disk.QueueHardState();
-  own_vote_token = disk.CoveringToken(log.last_index());
+  QueueVote();
   ResetElectionTimer();
   RequestVotes({.term = term, .pre_vote = false, .leadership_transfer = leadership_transfer});
 }
@@ -92,6 +115,8 @@
   const bool leader_active = HasRecentLeaderContact();
   if (request.pre_vote) {
     const bool granted = !leader_active && request.term > term && LogIsUpToDate(request);
+    // The request for the vote follows once the candidate's vote for itself is durable.
+    if (granted && ElectionTimeoutScale() > 1) ResetElectionTimer();
     return Send(from, request.address,
                 VoteReply{granted ? request.term : term, true, granted, from});
   }
@@ -101,7 +126,7 @@
       request.term == term && (voted_for.empty() || voted_for == from) && LogIsUpToDate(request);
   if (granted && voted_for.empty()) {
     voted_for = from;
-    disk.QueueHardState();
+    QueueVote();
   }
   if (granted) ResetElectionTimer();
   SendOnceDurable(from, request.address, VoteReply{term, false, granted, from});
@@ -132,17 +157,34 @@
 }
 
 void Replica::Impl::CountOwnVoteOnceDurable() {
-  if (disk.synced_token() < own_vote_token) return;
+  if (IsVotePending()) return;
   votes.insert(options.id);
   CountVotes();
 }
 
+void Replica::Impl::QueueVote() {
+  disk.QueueHardState();
+  vote_token = disk.CoveringToken(log.last_index());
+  vote_queued_at = now;
+}
+
+void Replica::Impl::OnVoteDurable() {
+  slowest_vote = std::max(slowest_vote, now - vote_queued_at);
+  if (state != State::kLeader && !leader) ResetElectionTimer();
+}
+
+void Replica::Impl::EndElections() {
+  slowest_vote = 0;
+  failed_elections = 0;
+}
+
 void Replica::Impl::BecomeLeader() {
   state = State::kLeader;
   transfer_requested = false;
   leader = options.id;
   out->leadership_changed = true;
   votes.clear();
+  EndElections();
   incoming.reset();
   progress.clear();
   elected_at = now;
--- a/replication/follower.cc
+++ b/replication/follower.cc
@@ -21,6 +21,7 @@
     BecomeFollower(message_term, from);
   }
   leader_contact = now;
+  EndElections();
   ResetElectionTimer();
   return true;
 }
--- a/replication/replica.cc
+++ b/replication/replica.cc
@@ -58,7 +58,9 @@
 }
 
 void Replica::Impl::Synced(std::uint64_t token) {
+  const bool vote_was_pending = IsVotePending();
   if (!disk.Synced(token)) return;
+  if (vote_was_pending && !IsVotePending()) OnVoteDurable();
   const auto ready = std::stable_partition(deferred.begin(), deferred.end(), [&](const auto& item) {
     return item.first > disk.synced_token();
   });
@@ -229,6 +231,13 @@
 
 const Membership& Replica::membership() const { return impl_->log.membership(); }
 
+ElectionStatus Replica::election_status(Micros now) const {
+  return {.state = impl_->state,
+          .vote_pending = impl_->IsVotePending() ? now - impl_->vote_queued_at : 0,
+          .slowest_vote = impl_->slowest_vote,
+          .failed_elections = impl_->failed_elections};
+}
+
 bool Replica::is_member() const { return membership().contains(impl_->options.id); }
 
 }  // namespace godwitpaddle::replication
--- a/replication/replica.h
+++ b/replication/replica.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/enum_names.h"
 #include "base/time.h"
 #include "replication/messages.h"
 
@@ -70,6 +71,18 @@
   bool wants_snapshot = false;  // asks the driver to call Compact with the applied state
 };
 
+enum class ReplicaState : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+inline constexpr EnumNames<4> kReplicaStateNames = {"follower", "pre_candidate", "candidate",
+                                                    "leader"};
+
+/// What a replica does while it knows no leader, for log lines.
+struct ElectionStatus {
+  ReplicaState state = ReplicaState::kFollower;
+  Micros vote_pending = 0;   // for how long its latest vote has not been durable; 0: it is
+  Micros slowest_vote = 0;   // longest time until a vote was durable since a leader was known
+  int failed_elections = 0;  // of this replica, in a row, since a leader was known
+};
+
 /// One member of a group that replicates a log with Raft. It is deterministic: all input, also the
 /// time, comes from its driver through the calls. The driver carries out the Effects of each call.
 class Replica {
@@ -128,6 +141,7 @@
   Index last_index() const;
   const Membership& membership() const;
   bool is_member() const;
+  ElectionStatus election_status(Micros now) const;
 
  private:
   struct Impl;
--- a/replication/replica_impl.h
+++ b/replication/replica_impl.h
@@ -33,7 +33,7 @@
 /// many as the last one. Bounds the log in memory and on the disk, also when the entries are large.
 inline constexpr std::size_t kMaxLogBytes = std::size_t{16} * 1024 * 1024;
 
-enum class State : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+using State = ReplicaState;
 
 /// Returns the bytes that an entry takes in memory, roughly.
 inline std::size_t SizeOf(const Entry& entry) { return entry.payload.size() + sizeof(Entry); }
@@ -71,7 +71,10 @@
   bool IsSelf(const ReplicaId& id) const { return id == options.id; }
 
   // election.cc
+  /// Starts the election timeout again. It grows with the time that the disk takes for a vote, and
+  /// with the elections of this replica that have failed, until a leader is known.
   void ResetElectionTimer();
+  double ElectionTimeoutScale() const;
   void TickElection();
   void StartPreVote();
   void StartElection(bool leadership_transfer = false);
@@ -85,6 +88,12 @@
   void OnVoteReply(const ReplicaId& from, const VoteReply& reply);
   void CountVotes();
   void CountOwnVoteOnceDurable();
+  /// The vote of this replica, for itself or another, has to become durable.
+  void QueueVote();
+  bool IsVotePending() const { return disk.synced_token() < vote_token; }
+  void OnVoteDurable();
+  /// A leader is known: the next election has the usual timeouts.
+  void EndElections();
   void BecomeLeader();
 
   // leader.cc
@@ -166,9 +175,12 @@
   /// Time of the newest message of the leader. Initially the time of the start, since the replica
   /// may have acknowledged a message just before it restarted.
   Micros leader_contact = 0;
-  Micros election_at = 0;            // when the election timeout ends
-  std::set<ReplicaId> votes;         // granted in the current election or pre-vote
-  std::uint64_t own_vote_token = 0;  // batch that makes the vote for itself durable
+  Micros election_at = 0;        // when the election timeout ends
+  std::set<ReplicaId> votes;     // granted in the current election or pre-vote
+  std::uint64_t vote_token = 0;  // batch that makes the latest vote durable
+  Micros vote_queued_at = 0;
+  Micros slowest_vote = 0;   // longest time until a vote was durable since a leader was known
+  int failed_elections = 0;  // of this replica, in a row, since a leader was known
 
   // Follower.
   Index verified_match = 0;    // the log is known to match the leader's up to here
--- a/tests/job_cluster.h
+++ b/tests/job_cluster.h
@@ -49,6 +49,7 @@
   double power_loss_after_ack = 0;
   double lost_vm_answers = 0;           // answers of the platform that are lost after execution
   Micros sync_time = 2 * kMillisecond;  // time of a disk sync, plus up to max_delay
+  std::map<std::size_t, Micros> node_sync_times;  // of these nodes instead of `sync_time`
 
   // Further faults that the platform's documentation allows.
   /// Answers of workers that are delayed by up to 1.5 s, so that others overtake them.
