Let a path name the job that was accepted there, whatever queue it selects

Cause: the leader looked for the job in the queue that the configuration in force selects for the path. But the path holds the job's id and the prefix of its acceptance (JobPath).

Change: calls about an accepted job find it by host and path; the selected queue decides about new jobs, and whether there is a queue. DELETE without a queue cancels, and is answered 410, as it is no success at such a path.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -60,10 +60,19 @@
   count("share_starts_total", plan.share_starts);
 }
 
-Answer AnswerTo(const Command& command, ApplyOutcome outcome) {
+/// Whether the command is a cancellation at a path for which there is no queue any more. Then the
+/// call has had its effect, but is no success: calls at such a path find nothing.
+bool CancelsWithoutQueue(const Command& command, const Configuration& configuration) {
+  const auto* cancel = std::get_if<Cancel>(&command);
+  return cancel != nullptr &&
+         FindQueue(configuration, cancel->host, FormatPath(cancel->path())) == nullptr;
+}
+
+Answer AnswerTo(const Command& command, ApplyOutcome outcome, const Configuration& configuration) {
   switch (outcome) {
     case ApplyOutcome::kApplied:
-      return {};
+      if (!CancelsWithoutQueue(command, configuration)) return {};
+      return MakeRefusal(AnswerCode::kNoSuchJob, "the job was cancelled; its queue is gone");
     case ApplyOutcome::kNoQueue:
       return MakeRefusal(AnswerCode::kNoQueue, "no such queue");
     case ApplyOutcome::kBadKey:
@@ -180,7 +189,7 @@
   const ApplyOutcome outcome = applied.outcome;
   const auto requester = requesters_.find(applied.index);
   if (requester != requesters_.end()) {
-    Reply(requester->second, AnswerTo(command, outcome), out);
+    Reply(requester->second, AnswerTo(command, outcome, state_.configuration()), out);
     requesters_.erase(requester);
   }
   if (const auto* submit = std::get_if<Submit>(&command)) {
--- a/control/leader.h
+++ b/control/leader.h
@@ -125,11 +125,24 @@
   void Handle(const EvacuationCall& call, const CallRequest& request, Micros now, WallMs wall,
               Outbox& out);
   bool IsKnownZone(const std::string& zone) const;
-  /// Whether an earlier leader may have accepted the job of this call, under a configuration that
-  /// had the queue and the key: then a refusal would not be true.
-  bool MayBeAccepted(const JobCall& call, const CallRequest& request) const;
-  void OnSubmit(const JobCall& call, const Queue& queue, JobId job, const CallRequest& request,
-                WallMs wall, Outbox& out);
+  /// What a client's call concerns. The path names the job that was accepted there, whatever queue
+  /// the configuration in force selects for the path.
+  struct NamedJob {
+    const Queue* queue = nullptr;  // of the configuration in force; null: none is selected
+    std::optional<JobPath> path;   // nothing: the call's path does not end with a job's id
+    const Job* job = nullptr;      // accepted at the path; null: none is known
+  };
+  NamedJob FindNamedJob(const JobCall& call) const;
+  /// Whether the call may concern what it names: it has a team's key, or needs none.
+  bool HasKey(const JobCall& call, const NamedJob& named) const;
+  void OnSubmit(const JobCall& call, const NamedJob& named, const CallRequest& request, WallMs wall,
+                Outbox& out);
+  void ProposeSubmit(const JobCall& call, const Queue& queue, JobId job, const CallRequest& request,
+                     WallMs wall, Outbox& out);
+  void OnQuery(const JobCall& call, const NamedJob& named, const CallRequest& request,
+               Outbox& out) const;
+  void OnCancel(const JobCall& call, const JobPath& path, const CallRequest& request, WallMs wall,
+                Outbox& out);
   /// Whether a job with this id may be refused as not accepted: it is neither accepted nor
   /// proposed.
   bool MayRefuse(JobId job) const;
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -100,67 +100,93 @@
   if (configuration.version == 0) {
     return refuse(MakeRefusal(AnswerCode::kUnavailable, "no configuration yet", kConfigureRetryS));
   }
-  const Queue* queue = FindQueue(configuration, call.host, call.path);
-  const bool has_key =
-      queue != nullptr && (queue->open || FindTeamByKey(configuration, call.key) != nullptr);
-  if (!has_key && MayBeAccepted(call, request)) {
+  const NamedJob named = FindNamedJob(call);
+  const bool has_key = HasKey(call, named);
+  if (call.kind == JobCallKind::kCancel && named.job != nullptr && has_key) {
+    return OnCancel(call, *named.path, request, wall, out);
+  }
+  const bool repeated_submit = request.repeated && call.kind == JobCallKind::kSubmit;
+  if (repeated_submit && named.job != nullptr && (named.queue == nullptr || !has_key)) {
     return refuse(MakeRefusal(AnswerCode::kUnknown, "an earlier leader may have accepted the job"));
   }
-  if (queue == nullptr) return refuse(MakeRefusal(AnswerCode::kNoQueue, "no such queue"));
+  if (named.queue == nullptr) return refuse(MakeRefusal(AnswerCode::kNoQueue, "no such queue"));
   if (!has_key) return refuse(MakeRefusal(AnswerCode::kBadKey, "the key belongs to no team"));
-  const std::string suffix = call.path.substr(queue->prefix.size());
-  const auto job = ParseJob(suffix);
-  if (call.kind == JobCallKind::kQuery && suffix.empty()) {
-    return Reply(RequesterOf(request), CountPending(*queue), out);
-  }
-  if (!job && call.kind == JobCallKind::kSubmit) {
-    return refuse(MakeRefusal(AnswerCode::kInvalid, "the path contains no job id"));
+  switch (call.kind) {
+    case JobCallKind::kSubmit:
+      return OnSubmit(call, named, request, wall, out);
+    case JobCallKind::kQuery:
+      return OnQuery(call, named, request, out);
+    case JobCallKind::kCancel:
+      if (!named.path) return refuse(MakeRefusal(AnswerCode::kNoSuchJob, "no such job"));
+      return OnCancel(call, *named.path, request, wall, out);
   }
-  if (call.kind == JobCallKind::kSubmit) return OnSubmit(call, *queue, *job, request, wall, out);
-  const Job* known = job ? state_.FindJob(*job) : nullptr;
-  if (known == nullptr || !State::IsJobOf(*known, *queue)) {
-    return refuse(MakeRefusal(AnswerCode::kNoSuchJob, "no such job"));
+}
+
+Leader::NamedJob Leader::FindNamedJob(const JobCall& call) const {
+  NamedJob named{.queue = FindQueue(state_.configuration(), call.host, call.path),
+                 .path = ParseJobPath(call.host, call.path)};
+  if (named.path) named.job = state_.FindJobAt(*named.path);
+  return named;
+}
+
+bool Leader::HasKey(const JobCall& call, const NamedJob& named) const {
+  const bool any_queue = named.queue != nullptr || named.job != nullptr;
+  const bool queue_open = named.queue == nullptr || named.queue->open;
+  const bool job_open = named.job == nullptr || State::QueueOf(*named.job).open;
+  if (any_queue && queue_open && job_open) return true;
+  return FindTeamByKey(state_.configuration(), call.key) != nullptr;
+}
+
+void Leader::OnQuery(const JobCall& call, const NamedJob& named, const CallRequest& request,
+                     Outbox& out) const {
+  if (named.job != nullptr) return Reply(RequesterOf(request), PhaseOf(*named.job), out);
+  if (call.path == named.queue->prefix) {
+    return Reply(RequesterOf(request), CountPending(*named.queue), out);
   }
-  if (call.kind == JobCallKind::kQuery) return Reply(RequesterOf(request), PhaseOf(*known), out);
-  out.Log("job_cancelled",
-          {{"job", suffix}, {"phase", std::string(NameOf(kJobPhaseNames, known->phase))}});
-  ProposeFor(Cancel{.job = *job, .wall_ms = wall}, request);
+  Refuse(call, request, MakeRefusal(AnswerCode::kNoSuchJob, "no such job"), out);
 }
 
-bool Leader::MayBeAccepted(const JobCall& call, const CallRequest& request) const {
-  if (!request.repeated || call.kind != JobCallKind::kSubmit) return false;
-  if (call.path.size() < kJobDigits) return false;
-  const std::size_t prefix_size = call.path.size() - kJobDigits;
-  const auto id = ParseJob(call.path.substr(prefix_size));
-  const Job* job = id ? state_.FindJob(*id) : nullptr;
-  return job != nullptr &&
-         State::IsJobOf(*job, {.host = call.host, .prefix = call.path.substr(0, prefix_size)});
+/// Proposed also if the job is not known or has ended: a Submit may be before it in the log, and
+/// one that is applied later must not be accepted.
+void Leader::OnCancel(const JobCall& call, const JobPath& path, const CallRequest& request,
+                      WallMs wall, Outbox& out) {
+  const Job* job = state_.FindJobAt(path);
+  const std::string phase(job == nullptr ? "unknown" : NameOf(kJobPhaseNames, job->phase));
+  out.Log("job_cancelled", {{"job", FormatJob(path.job)}, {"path", call.path}, {"phase", phase}});
+  ProposeFor(Cancel{.job = path.job, .wall_ms = wall, .host = path.host, .prefix = path.prefix},
+             request);
 }
 
-void Leader::OnSubmit(const JobCall& call, const Queue& queue, JobId job,
-                      const CallRequest& request, WallMs wall, Outbox& out) {
-  const Job* known = state_.FindJob(job);
-  const auto refuse = [&](std::string reason) {
-    Refuse(call, request, MakeRefusal(AnswerCode::kInvalid, std::move(reason)), out);
+void Leader::OnSubmit(const JobCall& call, const NamedJob& named, const CallRequest& request,
+                      WallMs wall, Outbox& out) {
+  if (named.job != nullptr) return Reply(RequesterOf(request), {}, out);
+  const auto refuse = [&](AnswerCode code, std::string reason, std::int64_t retry_after_s = 0) {
+    Refuse(call, request, MakeRefusal(code, std::move(reason), retry_after_s), out);
   };
-  if (known != nullptr && !State::IsJobOf(*known, queue)) {
-    return refuse("the id names a job of another queue");
+  const Queue& queue = *named.queue;
+  if (!named.path || named.path->prefix != queue.prefix) {
+    return refuse(AnswerCode::kInvalid, "the path contains no job id");
+  }
+  const JobId job = named.path->job;
+  if (state_.FindJob(job) != nullptr) {
+    return refuse(AnswerCode::kInvalid, "the id names a job of another queue");
   }
-  if (known != nullptr) return Reply(RequesterOf(request), {}, out);
   if (call_waited_ > kMaxSubmitWait && MayRefuse(job)) {
     out.Count("submits_refused_late_total");
-    return Refuse(
-        call, request,
-        MakeRefusal(AnswerCode::kOverloaded, "the leader is overloaded; the job was not accepted",
-                    kOverloadRetryS),
-        out);
+    return refuse(AnswerCode::kOverloaded, "the leader is overloaded; the job was not accepted",
+                  kOverloadRetryS);
   }
   std::string error = CheckSpec(call.spec);
   if (error.empty() && queue.requires_ticket) error = "policy services are not supported";
-  if (!error.empty()) return refuse(std::move(error));
+  if (!error.empty()) return refuse(AnswerCode::kInvalid, std::move(error));
   if (auto refusal = RefuseForLackOfRoom(call, queue, job, out)) {
     return Refuse(call, request, *std::move(refusal), out);
   }
+  ProposeSubmit(call, queue, job, request, wall, out);
+}
+
+void Leader::ProposeSubmit(const JobCall& call, const Queue& queue, JobId job,
+                           const CallRequest& request, WallMs wall, Outbox& out) {
   out.Log("job_accepted", {{"job", FormatJob(job)},
                            {"queue", queue.name},
                            {"configuration", std::to_string(state_.configuration().version)},
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -45,11 +45,17 @@
   MSGPACK_DEFINE(job, queue, key, wall_ms, spec, host, prefix)
 };
 
-/// Cancels a job, unless it has ended already.
+/// Cancels the job that was accepted at the path, unless it has ended already.
 struct Cancel {
   JobId job = 0;
   std::int64_t wall_ms = 0;  // Unix time by the leader's clock
-  MSGPACK_DEFINE(job, wall_ms)
+  // Of the path; both empty if a leader of an earlier version proposed the command.
+  std::string host;
+  std::string prefix;
+  MSGPACK_DEFINE(job, wall_ms, host, prefix)
+
+  JobPath path() const { return {.host = host, .prefix = prefix, .job = job}; }
+  bool has_path() const { return !host.empty() || !prefix.empty(); }
 };
 
 /// Assigns a waiting task to a worker. The run number must exceed that of the task's latest run.
@@ -133,7 +139,7 @@
   kBadKey,   // the key belongs to no team
   kNoSuchJob,
   kJobTableFull,  // StateOptions::max_jobs is reached
-  kRejected,      // the command contradicts the state, which is unchanged
+  kRejected,         // the command contradicts the state, which is unchanged
 };
 
 }  // namespace godwitpaddle::jobs
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -214,7 +214,9 @@
 
 ApplyOutcome State::ApplyOne(const Cancel& command) {
   const auto found = jobs_.find(command.job);
-  if (found == jobs_.end()) return ApplyOutcome::kNoSuchJob;
+  const bool known =
+      found != jobs_.end() && (!command.has_path() || IsJobAt(found->second, command.path()));
+  if (!known) return ApplyOutcome::kNoSuchJob;
   if (found->second.active()) EndJob(found->second, JobPhase::kCancelled, command.wall_ms);
   UpdateIndexes(found->second);
   return ApplyOutcome::kApplied;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -231,9 +231,11 @@
   /// The job's team as the newest configuration that has it describes it, and what it uses; null
   /// if no team is known.
   static const KnownTeam* TeamOf(const Job& job) { return job.known_team; }
-  /// Whether calls at this queue concern the job. If it is not known where the job was accepted,
-  /// the calls at all queues do: no other job has its id.
-  static bool IsJobOf(const Job& job, const Queue& queue);
+  /// Whether calls at the path, whose id is the job's, concern the job. If it is not known where
+  /// the job was accepted, the calls at all paths do: no other job has its id.
+  static bool IsJobAt(const Job& job, const JobPath& path);
+  /// The job that was accepted at the path; null if there is none.
+  const Job* FindJobAt(const JobPath& path) const;
   /// What is known of the jobs of the queue at this host and prefix; null if it has none.
   const KnownQueue* FindKnownQueue(const Queue& queue) const { return queues_.Find(queue); }
   /// Estimated work of open jobs by the present services of their queues, in core-milliseconds,
--- a/jobs/state_indexes.cc
+++ b/jobs/state_indexes.cc
@@ -135,9 +135,14 @@
   ++job.known_team->jobs;
 }
 
-bool State::IsJobOf(const Job& job, const Queue& queue) {
+bool State::IsJobAt(const Job& job, const JobPath& path) {
   const Queue& own = QueueOf(job);
-  return job.queue_number == 0 || (own.host == queue.host && own.prefix == queue.prefix);
+  return job.queue_number == 0 || (own.host == path.host && own.prefix == path.prefix);
+}
+
+const Job* State::FindJobAt(const JobPath& path) const {
+  const Job* job = FindJob(path.job);
+  return job != nullptr && IsJobAt(*job, path) ? job : nullptr;
 }
 
 void State::UpdateIndexes(Job& job) {
--- a/jobs/types.cc
+++ b/jobs/types.cc
@@ -102,6 +102,16 @@
   return job;
 }
 
+std::string FormatPath(const JobPath& path) { return path.prefix + FormatJob(path.job); }
+
+std::optional<JobPath> ParseJobPath(const std::string& host, const std::string& path) {
+  if (path.size() < kJobDigits) return std::nullopt;
+  const std::size_t prefix_size = path.size() - kJobDigits;
+  const auto job = ParseJob(path.substr(prefix_size));
+  if (!job) return std::nullopt;
+  return JobPath{.host = host, .prefix = path.substr(0, prefix_size), .job = *job};
+}
+
 std::string FormatStep(const TaskId& task) {
   return FormatJob(task.job) + "." + std::to_string(task.occurrence) + "." +
          std::to_string(task.step);
--- a/jobs/types.h
+++ b/jobs/types.h
@@ -100,6 +100,20 @@
 std::string FormatJob(JobId job);
 std::optional<JobId> ParseJob(const std::string& text);
 
+/// Where a job is submitted. It names the job in every later call, whatever queues there are then.
+struct JobPath {
+  std::string host;
+  std::string prefix;  // of the queue that accepts, or accepted, the job
+  JobId job = 0;
+  auto operator<=>(const JobPath&) const = default;
+  MSGPACK_DEFINE(host, prefix, job)
+};
+
+/// Returns "PREFIX" + "JOB", the path of calls about the job.
+std::string FormatPath(const JobPath& path);
+/// Splits the path of a call before the job's id; nothing if it does not end with one.
+std::optional<JobPath> ParseJobPath(const std::string& host, const std::string& path);
+
 // ---- configuration ----
 
 /// A URL prefix at which clients submit jobs, with the policy for these jobs. Host and prefix
