Keep a cancellation that is applied before its job's submission

Cause: DELETE was answered from the applied state, in which a POST that is proposed, held or on its way is not.

Change: each DELETE is proposed with its path, and the order in the log decides. One that comes before its Submit is kept with the state for as long as ended jobs are, 10,000 at most, and the Submit is refused with 410. Ruled out: holding the DELETE in the leader, which forgets it with its term.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -79,7 +79,12 @@
       return MakeRefusal(AnswerCode::kBadKey, "the key belongs to no team");
     case ApplyOutcome::kNoSuchJob:
       return MakeRefusal(AnswerCode::kNoSuchJob, "no such job");
+    case ApplyOutcome::kCancelledBefore:
+      return MakeRefusal(AnswerCode::kNoSuchJob, "the job was cancelled before it arrived");
     case ApplyOutcome::kJobTableFull:
+      if (std::holds_alternative<Cancel>(command)) {
+        return MakeRefusal(AnswerCode::kUnavailable, "too many cancellations of unknown jobs", 1);
+      }
       return MakeRefusal(AnswerCode::kOverloaded, "the job table is full; the job was not accepted",
                          1);
     case ApplyOutcome::kRejected:
--- a/control/leader_calls.cc
+++ b/control/leader_calls.cc
@@ -171,6 +171,9 @@
   if (state_.FindJob(job) != nullptr) {
     return refuse(AnswerCode::kInvalid, "the id names a job of another queue");
   }
+  if (state_.IsCancelledBefore(*named.path)) {
+    return refuse(AnswerCode::kNoSuchJob, "the job was cancelled before it arrived");
+  }
   if (call_waited_ > kMaxSubmitWait && MayRefuse(job)) {
     out.Count("submits_refused_late_total");
     return refuse(AnswerCode::kOverloaded, "the leader is overloaded; the job was not accepted",
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -45,7 +45,8 @@
   MSGPACK_DEFINE(job, queue, key, wall_ms, spec, host, prefix)
 };
 
-/// Cancels the job that was accepted at the path, unless it has ended already.
+/// Cancels the job that was accepted at the path, unless it has ended already. If there is none, no
+/// job is accepted at the path for some time: its Submit may be on its way.
 struct Cancel {
   JobId job = 0;
   std::int64_t wall_ms = 0;  // Unix time by the leader's clock
@@ -138,7 +139,8 @@
   kNoQueue,  // the queue does not exist
   kBadKey,   // the key belongs to no team
   kNoSuchJob,
-  kJobTableFull,  // StateOptions::max_jobs is reached
+  kCancelledBefore,  // a Cancel of the job was applied before its Submit
+  kJobTableFull,     // StateOptions::max_jobs or max_early_cancels is reached
   kRejected,         // the command contradicts the state, which is unchanged
 };
 
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -8,11 +8,11 @@
 namespace godwitpaddle::jobs {
 namespace {
 
-/// Nodes of earlier versions write and read the first six or the first eight elements only.
-using Snapshot =
-    std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
-               std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
-               KnownQueues::Stored, KnownTeams::Stored, std::map<std::string, std::int64_t>>;
+/// Nodes of earlier versions write and read the first six, eight or nine elements only.
+using Snapshot = std::tuple<Configuration, std::map<JobId, Job>, std::map<WorkerId, Worker>,
+                            std::map<WaveId, Wave>, std::map<VmId, RecordVmOrder>, std::int64_t,
+                            KnownQueues::Stored, KnownTeams::Stored,
+                            std::map<std::string, std::int64_t>, EarlyCancels::Stored>;
 
 /// Recorded VM orders older than this are dropped: they cannot affect the orders of a new leader.
 constexpr std::int64_t kVmOrderRetentionMs = 60'000;
@@ -94,7 +94,7 @@
 std::string State::Encode() const {
   return godwitpaddle::Encode(Snapshot(configuration_, jobs_, workers_, waves_, vm_orders_,
                                        newest_wall_ms_, queues_.Store(), teams_.Store(),
-                                       evacuated_zones_));
+                                       evacuated_zones_, early_cancels_.Store()));
 }
 
 void State::Decode(const std::string& bytes) {
@@ -102,8 +102,10 @@
   if (!bytes.empty()) image = godwitpaddle::Decode<Snapshot>(bytes);
   KnownQueues::Stored queues;
   KnownTeams::Stored teams;
+  EarlyCancels::Stored early_cancels;
   std::tie(configuration_, jobs_, workers_, waves_, vm_orders_, newest_wall_ms_, queues, teams,
-           evacuated_zones_) = std::move(image);
+           evacuated_zones_, early_cancels) = std::move(image);
+  early_cancels_.Restore(std::move(early_cancels));
   queues_.Restore(std::move(queues));
   const bool has_teams = !teams.teams.empty();
   teams_.Restore(std::move(teams));
@@ -180,11 +182,15 @@
 
 ApplyOutcome State::ApplyOne(const Submit& command) {
   RemoveExpiredJobs(command.wall_ms);
+  early_cancels_.RemoveBefore(command.wall_ms - options_.ended_retention_ms);
   const Queue* queue = FindQueueOf(command);
   if (queue == nullptr) return ApplyOutcome::kNoQueue;
   const Team* team = FindTeamByKey(configuration_, command.key);
   if (team == nullptr && !queue->open) return ApplyOutcome::kBadKey;
   if (jobs_.contains(command.job)) return ApplyOutcome::kApplied;
+  if (IsCancelledBefore({.host = queue->host, .prefix = queue->prefix, .job = command.job})) {
+    return ApplyOutcome::kCancelledBefore;
+  }
   if (jobs_.size() >= options_.max_jobs) return ApplyOutcome::kJobTableFull;
   Job& job = jobs_[command.job];
   job.id = command.job;
@@ -216,12 +222,23 @@
   const auto found = jobs_.find(command.job);
   const bool known =
       found != jobs_.end() && (!command.has_path() || IsJobAt(found->second, command.path()));
-  if (!known) return ApplyOutcome::kNoSuchJob;
+  if (!known) return ApplyEarlyCancel(command);
   if (found->second.active()) EndJob(found->second, JobPhase::kCancelled, command.wall_ms);
   UpdateIndexes(found->second);
   return ApplyOutcome::kApplied;
 }
 
+ApplyOutcome State::ApplyEarlyCancel(const Cancel& command) {
+  if (!command.has_path()) return ApplyOutcome::kNoSuchJob;
+  early_cancels_.RemoveBefore(command.wall_ms - options_.ended_retention_ms);
+  if (!early_cancels_.Contains(command.path()) &&
+      early_cancels_.size() >= options_.max_early_cancels) {
+    return ApplyOutcome::kJobTableFull;
+  }
+  early_cancels_.Add(command.path(), command.wall_ms);
+  return ApplyOutcome::kNoSuchJob;
+}
+
 /// Checks what must hold for a start, independently of the leader's plan.
 bool State::MayStart(const Job& job, const TaskId& id, const Worker& worker) const {
   const Step& step = job.spec.steps[id.step];
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "jobs/commands.h"
+#include "jobs/early_cancels.h"
 #include "jobs/known_queues.h"
 #include "jobs/known_teams.h"
 #include "jobs/types.h"
@@ -192,6 +193,7 @@
 struct StateOptions {
   std::int64_t ended_retention_ms = 120'000;  // how long ended jobs can be queried
   std::size_t max_jobs = 60'000;
+  std::size_t max_early_cancels = 10'000;  // cancellations of jobs that have not arrived
 };
 
 /// The replicated state: configuration, jobs, workers and maintenance waves. It depends only on the
@@ -236,6 +238,8 @@
   static bool IsJobAt(const Job& job, const JobPath& path);
   /// The job that was accepted at the path; null if there is none.
   const Job* FindJobAt(const JobPath& path) const;
+  /// Whether a job at the path was cancelled before it arrived, and so is not accepted any more.
+  bool IsCancelledBefore(const JobPath& path) const { return early_cancels_.Contains(path); }
   /// What is known of the jobs of the queue at this host and prefix; null if it has none.
   const KnownQueue* FindKnownQueue(const Queue& queue) const { return queues_.Find(queue); }
   /// Estimated work of open jobs by the present services of their queues, in core-milliseconds,
@@ -281,6 +285,8 @@
   void ApplyZoneOrder(const ZoneOrder& order);
   ApplyOutcome ApplyOne(const Submit& command);
   ApplyOutcome ApplyOne(const Cancel& command);
+  /// Applies a cancellation of a job that is not known.
+  ApplyOutcome ApplyEarlyCancel(const Cancel& command);
   ApplyOutcome ApplyOne(const Assign& command);
   ApplyOutcome ApplyOne(const RecordEnd& command);
   ApplyOutcome ApplyOne(const RecordWorker& command);
@@ -334,6 +340,7 @@
   std::map<VmId, RecordVmOrder> vm_orders_;
   std::map<WaveId, Wave> waves_;
   std::map<std::string, std::int64_t> evacuated_zones_;
+  EarlyCancels early_cancels_;
   std::int64_t newest_wall_ms_ = 0;  // latest Unix time of an applied Submit
   KnownQueues queues_;
   KnownTeams teams_;
