--- a/replication/election.cc
+++ b/replication/election.cc
@@ -11,8 +11,10 @@
 /// An election takes the candidate's and then a voter's time to make a vote durable. Until the
 /// request of a candidate with a disk like its own arrives, a voter waits for this many such times.
 constexpr double kVoteTimes = 1.5;
-/// Longest election timeout, as a multiple of the usual one.
-constexpr double kMaxTimeoutScale = 8;
+/// Longest election timeouts, as multiples of the usual one: for the time of a vote, which may have
+/// waited for a full disk that has room again, and for failed elections.
+constexpr double kMaxScaleForDisk = 3;
+constexpr double kMaxScaleForFailures = 8;
 /// Votes may split once or twice by chance; further failures mean that the timeout is too short.
 constexpr int kChanceFailures = 2;
 
@@ -22,7 +24,8 @@
   const double for_disk =
       kVoteTimes * static_cast<double>(slowest_vote) / static_cast<double>(options.election_min);
   const double for_failures = std::exp2(std::max(0, failed_elections - kChanceFailures));
-  return std::clamp(std::max(for_disk, for_failures), 1.0, kMaxTimeoutScale);
+  return std::max(std::clamp(for_disk, 1.0, kMaxScaleForDisk),
+                  std::min(for_failures, kMaxScaleForFailures));
 }
 
 void Replica::Impl::ResetElectionTimer() {
