Tell planned starts from forgotten tasks, and runs never begun from others, in the log

Callers saw tasks that waited beside workers with room. task_waits gave the reason none for a task whose start was on its way as for one that nothing would ever start, and counted room that planned starts hold; run_concluded did not say whether the worker had begun the run.

No decision changes.

--- a/control/leader.cc
+++ b/control/leader.cc
@@ -106,7 +106,7 @@
       maintenance_(options_.maintenance, state, fleet_, orders_, planner_,
                    [this](Command command) { Propose(std::move(command)); }),
       pools_(options_.pools, state, fleet_, orders_, maintenance_, planner_, demand_),
-      wait_report_(state, fleet_, [this] { return WithheldVms(); }),
+      wait_report_(state, fleet_, planner_.unapplied(), [this] { return WithheldVms(); }),
       zone_drain_(state, fleet_, [this] { return WithheldVms(); }) {}
 
 void Leader::BeginTerm(replication::Term term, Micros now, WallMs wall, Outbox& out) {
--- a/control/wait_report.cc
+++ b/control/wait_report.cc
@@ -112,12 +112,15 @@
     }
     ++wait.workers;
     if (obstacle == WorkerObstacle::kNone) ++wait.usable;
-    if (!HasRoom(job, id, *one.worker)) continue;
+    const Resources planned = unapplied_.LoadOf(one.worker->record.id).used;
+    if (!HasRoom(job, id, *one.worker, planned)) continue;
     ++roomy;
     if (obstacle == WorkerObstacle::kNone) ++allowed;
     ++wait.with_room.at(static_cast<std::size_t>(obstacle));
   }
-  if (step.long_running ? task.paused(wall) : task.held(wall)) {
+  if (unapplied_.Contains(id)) {
+    wait.reason = WaitReason::kPlanned;
+  } else if (step.long_running ? task.paused(wall) : task.held(wall)) {
     wait.reason = WaitReason::kHeld;
   } else if (LimitReached(job, step.size)) {
     wait.reason = WaitReason::kTeamLimit;
--- a/control/wait_report.h
+++ b/control/wait_report.h
@@ -14,27 +14,30 @@
 #include "control/events.h"
 #include "control/worker_fleet.h"
 #include "jobs/state.h"
+#include "jobs/unapplied_starts.h"
 
 namespace godwitpaddle::jobs {
 
 /// Why a task is not started.
 enum class WaitReason : std::uint8_t {
   kNone,        // a worker that may get tasks has room for it
+  kPlanned,     // its start is planned, and not applied yet
   kHeld,        // its latest runs were lost with workers that may have crashed
   kTeamLimit,   // its team uses what it may
   kNoWorkers,   // its service has no workers
   kNoRoom,      // no worker of its service has room for it
   kNotAllowed,  // the workers with room may not get tasks
 };
-inline constexpr EnumNames<6> kWaitReasonNames = {"none",       "held",    "team_limit",
-                                                  "no_workers", "no_room", "not_allowed"};
+inline constexpr EnumNames<7> kWaitReasonNames = {
+    "none", "planned", "held", "team_limit", "no_workers", "no_room", "not_allowed"};
 
 /// What keeps a task from being started, with the workers of its service.
 struct TaskWait {
   WaitReason reason = WaitReason::kNone;
   std::uint32_t workers = 0;  // of the service
   std::uint32_t usable = 0;   // of these, those that may get tasks
-  /// The workers with room for the task, by what keeps them from getting tasks.
+  /// The workers with room for the task beside the starts that are planned there, by what keeps
+  /// them from getting tasks.
   std::array<std::uint32_t, kWorkerObstacleNames.size()> with_room = {};
 };
 
@@ -45,8 +48,12 @@
   /// Returns the VMs that must not get tasks because of a move or maintenance.
   using CordonedVms = std::function<std::unordered_set<std::string_view>()>;
 
-  WaitReport(const State& state, const WorkerFleet& fleet, CordonedVms cordoned_vms)
-      : state_(state), fleet_(fleet), cordoned_vms_(std::move(cordoned_vms)) {}
+  WaitReport(const State& state, const WorkerFleet& fleet, const UnappliedStarts& unapplied,
+             CordonedVms cordoned_vms)
+      : state_(state),
+        fleet_(fleet),
+        unapplied_(unapplied),
+        cordoned_vms_(std::move(cordoned_vms)) {}
 
   void BeginTerm() { waits_.clear(); }
   /// Does nothing but once a second.
@@ -66,6 +73,7 @@
 
   const State& state_;
   const WorkerFleet& fleet_;
+  const UnappliedStarts& unapplied_;
   const CordonedVms cordoned_vms_;
   Micros next_tick_ = 0;
   int lines_left_ = 0;  // of the present second
--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -82,6 +82,9 @@
   // An order for the previous incarnation, whose clock showed more, may have given this one any
   // lease up to the longest.
   view.assumed_lease_ms = view.incarnation == 0 ? options_.lease_ms : options_.longest_lease_ms;
+  for (auto& [task, run] : view.runs) {
+    if (run.heard_until == 0) run.heard_until = view.last_heard;
+  }
   view.incarnation = record.incarnation_ms;
   view.sequence = 0;
   view.has_clock = false;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -169,6 +169,8 @@
     Micros stop_due = 0;  // earliest time of the next stop order
     std::optional<Micros> stop_answered_at;
     bool begun = false;  // the worker answered the start or listed the run
+    /// When the incarnation that runs it was last heard, if another one has followed; 0: none has.
+    Micros heard_until = 0;
     bool end_proposed = false;
     std::uint32_t speed_percent = 0;
     std::int64_t load_metric = 0;
@@ -325,6 +327,8 @@
                 Conclusion conclusion, WallMs wall, Outbox& out);
   /// Records that the worker has begun the run.
   void SetBegun(const TaskId& task, Run& run);
+  /// Returns how long the run is known to have gone on: until its worker was last heard.
+  static Micros KnownRunTime(const WorkerView& view, const Run& run);
   /// Whether the long-running task had worked for a while when the worker was last heard.
   bool HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const;
   /// Appends the differences for one worker.
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -319,7 +319,9 @@
            {"worker", worker},
            {"how", std::string(NameOf(kEndKindNames, kind))},
            {"reason", std::string(NameOf(kConclusionNames, conclusion))},
-           {"sends", std::to_string(run.start_sends)}},
+           {"sends", std::to_string(run.start_sends)},
+           {"begun", run.begun ? "true" : "false"},
+           {"ran_ms", std::to_string(KnownRunTime(view, run) / kMillisecond)}},
           IsRoutine(conclusion) ? Severity::kInfo : Severity::kWarning);
   propose_(RecordEnd{.worker = worker,
                      .incarnation_ms = view.incarnation,
@@ -336,6 +338,12 @@
   unbegun_jobs_.OnBegun(task.job);
 }
 
+Micros WorkerFleet::KnownRunTime(const WorkerView& view, const Run& run) {
+  if (run.started_at == 0) return 0;
+  const Micros heard = run.heard_until != 0 ? run.heard_until : view.last_heard;
+  return std::max<Micros>(0, heard - run.started_at);
+}
+
 bool WorkerFleet::HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const {
   const Job* job = state_.FindJob(task.job);
   if (job == nullptr || task.step >= job->spec.steps.size()) return false;
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -21,9 +21,11 @@
 /// one for which the run was lost.
 constexpr std::int64_t kMaxExplainedMs = 15'000;
 
-bool FitsBesideTasks(const Job& job, const TaskId& id, const Worker& worker) {
+bool FitsBesideTasks(const Job& job, const TaskId& id, const Worker& worker,
+                     const Resources& planned = {}) {
   const Step& step = job.spec.steps[id.step];
-  if (!(worker.used + step.footprint()).FitsInto(worker.record.capacity)) return false;
+  const Resources needed = worker.used + planned + step.footprint();
+  if (!needed.FitsInto(worker.record.capacity)) return false;
   if (step.max_per_worker == 0) return true;
   const auto siblings = std::ranges::count_if(worker.tasks, [&](const TaskId& other) {
     return other.job == id.job && other.occurrence == id.occurrence && other.step == id.step;
@@ -80,11 +82,11 @@
   });
 }
 
-bool HasRoom(const Job& job, const TaskId& id, const Worker& worker) {
+bool HasRoom(const Job& job, const TaskId& id, const Worker& worker, const Resources& planned) {
   const std::string& label = job.spec.steps[id.step].required_label;
   const auto& labels = worker.record.labels;
   const bool suits = label.empty() || std::ranges::find(labels, label) != labels.end();
-  return suits && FitsBesideTasks(job, id, worker);
+  return suits && FitsBesideTasks(job, id, worker, planned);
 }
 
 ApplyOutcome State::Apply(const Command& command) {
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -148,8 +148,9 @@
 
 struct Worker;
 
-/// Whether the worker suits the task, and has room for it beside the tasks assigned to it.
-bool HasRoom(const Job& job, const TaskId& id, const Worker& worker);
+/// Whether the worker suits the task, and has room for it beside the tasks assigned to it and
+/// beside what else is `planned` there.
+bool HasRoom(const Job& job, const TaskId& id, const Worker& worker, const Resources& planned = {});
 
 /// A run that was lost with a worker of which it is not known whether it crashed.
 struct LostRun {
