Do not count the outage of a worker as work of its long-running task

Callers saw long-running tasks start beside others though they had just crashed a worker. When a worker restarted under its id, the leader measured a run's time from its start to the answer of the next incarnation. A run of two seconds before an outage of three counted as five seconds of work, which clears the crashes of the task.

A run's time ends with the newest order that the incarnation which runs it has answered, counted from the sending of the order: an answer may be late, and one of a later incarnation proves nothing. never_begun_run_test ("the outage of a worker that restarts is no work of its task") failed before: 1 of 4 assertions.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -83,7 +83,7 @@
   // lease up to the longest.
   view.assumed_lease_ms = view.incarnation == 0 ? options_.lease_ms : options_.longest_lease_ms;
   for (auto& [task, run] : view.runs) {
-    if (run.heard_until == 0) run.heard_until = view.last_heard;
+    if (run.alive_until == 0) run.alive_until = view.alive_at;
   }
   view.incarnation = record.incarnation_ms;
   view.sequence = 0;
@@ -91,6 +91,7 @@
   view.lease_end_ms = 0;
   view.lists_received = false;
   view.confirmed = false;
+  view.alive_at = 0;
   view.list_connection = 0;
   view.replaced = false;
   view.next_renewal_at = now;
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -169,8 +169,8 @@
     Micros stop_due = 0;  // earliest time of the next stop order
     std::optional<Micros> stop_answered_at;
     bool begun = false;  // the worker answered the start or listed the run
-    /// When the incarnation that runs it was last heard, if another one has followed; 0: none has.
-    Micros heard_until = 0;
+    /// Set once another incarnation has followed the one that runs it: see WorkerView::alive_at.
+    Micros alive_until = 0;
     bool end_proposed = false;
     std::uint32_t speed_percent = 0;
     std::int64_t load_metric = 0;
@@ -193,6 +193,7 @@
     std::int64_t assumed_lease_ms = 0;
     bool lists_received = false;        // the worker sent its run lists in this term
     Micros last_answered_order_at = 0;  // send time of the newest order that was answered
+    Micros alive_at = 0;                // of the newest one that this incarnation answered
     bool expected_down = false;         // see ExpectWorkerDown and ExpectVmDown
     Micros expected_down_at = 0;        // time of the newest report that it goes down
     Micros expected_down_since = 0;     // time of the first such report
@@ -327,8 +328,9 @@
                 Conclusion conclusion, WallMs wall, Outbox& out);
   /// Records that the worker has begun the run.
   void SetBegun(const TaskId& task, Run& run);
-  /// Returns how long the run is known to have gone on: until its worker was last heard.
+  /// Returns how long the run is known to have gone on.
   static Micros KnownRunTime(const WorkerView& view, const Run& run);
+  bool IsLongRunning(const TaskId& task) const;
   /// Whether the long-running task had worked for a while when the worker was last heard.
   bool HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const;
   /// Appends the differences for one worker.
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -46,9 +46,11 @@
     view->confirmed = false;
     view->next_renewal_at = std::min(view->next_renewal_at, now + kRenewalPause);
     if (sent.kind != OrderKind::kRenewLease) return OnOtherIncarnationReply(sent, *view, now);
-  } else if (sent.incarnation == view->incarnation && answered) {
+  } else if (sent.incarnation == view->incarnation && answered &&
+             reply.incarnation_ms <= view->incarnation) {
     RecordClock(*view, reply.clock_ms, now);
     view->last_heard = now;
+    view->alive_at = std::max(view->alive_at, sent.sent_at);
   }
   if (reply.outcome == OrderOutcome::kNotSent && sent.newest_connection != 0) {
     // Says nothing about the worker: the next renewal acknowledges no ends and may use any
@@ -123,6 +125,7 @@
       if (sent.incarnation == view.incarnation) {
         run.phase = RunPhase::kRunning;
         run.started_at = now;
+        run.alive_until = 0;
       }
       break;
     case OrderOutcome::kRefused:
@@ -249,9 +252,12 @@
     const auto run = view.runs.find(listed.task);
     if (run != view.runs.end() && run->second.run == listed.run) {
       SetBegun(listed.task, run->second);
-      if (run->second.phase != RunPhase::kRunning) {
+      // The next incarnation may have carried out the start.
+      const bool is_new = run->second.phase != RunPhase::kRunning || run->second.alive_until != 0;
+      if (is_new) {
         run->second.phase = RunPhase::kRunning;
         run->second.started_at = now;
+        run->second.alive_until = 0;
       }
       run->second.speed_percent = listed.speed_percent;
       run->second.load_metric = listed.load_metric;
@@ -340,15 +346,18 @@
 
 Micros WorkerFleet::KnownRunTime(const WorkerView& view, const Run& run) {
   if (run.started_at == 0) return 0;
-  const Micros heard = run.heard_until != 0 ? run.heard_until : view.last_heard;
-  return std::max<Micros>(0, heard - run.started_at);
+  const Micros alive_at = run.alive_until != 0 ? run.alive_until : view.alive_at;
+  return std::max<Micros>(0, alive_at - run.started_at);
 }
 
-bool WorkerFleet::HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const {
+bool WorkerFleet::IsLongRunning(const TaskId& task) const {
   const Job* job = state_.FindJob(task.job);
-  if (job == nullptr || task.step >= job->spec.steps.size()) return false;
-  return job->spec.steps[task.step].long_running && run.started_at != 0 &&
-         view.last_heard - run.started_at > kTrialTime;
+  return job != nullptr && task.step < job->spec.steps.size() &&
+         job->spec.steps[task.step].long_running;
+}
+
+bool WorkerFleet::HadWorked(const WorkerView& view, const TaskId& task, const Run& run) const {
+  return IsLongRunning(task) && KnownRunTime(view, run) > kTrialTime;
 }
 
 void WorkerFleet::ConcludeAll(const WorkerId& worker, WorkerView& view, Conclusion conclusion,
--- /dev/null
+++ b/tests/never_begun_run_test.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tests/manual_worker_fleet.h"
+
+// Tests what the crash of a worker says about the tasks that were assigned to it.
+namespace godwitpaddle::testing {
+namespace {
+
+using jobs::OrderOutcome;
+using jobs::StartOrder;
+using jobs::StopOrder;
+
+constexpr jobs::JobId kOrdinaryJob = ManualWorkerFleet::kJob;
+constexpr jobs::JobId kLongRunningJob = 77;
+const std::vector<jobs::WorkerId> kWorkers = {"a", "b", "c", "d", "e"};
+
+/// Workers that crash one after the other, each with one task.
+struct CrashLab : ManualWorkerFleet {
+  CrashLab() {
+    jobs::Submit submit{.job = kLongRunningJob, .queue = "quotes", .wall_ms = Wall()};
+    submit.spec.steps = {{.count = 1, .size = {.cpu = 1'000}, .long_running = true}};
+    state.Apply(submit);
+    for (const jobs::WorkerId& id : kWorkers) AddWorker(id, "vm-" + id);
+  }
+
+  const jobs::Task& At(jobs::JobId job) const { return *state.FindTask({.job = job}); }
+
+  /// The worker crashes; all that is sent to it until it is back stays without an answer.
+  void Crash(const jobs::WorkerId& id) {
+    silent_workers.push_back(id);
+    workers.at(id).running.clear();
+  }
+
+  /// Assigns the task, unless its job has ended. Returns whether it is assigned.
+  bool AssignIfOpen(jobs::JobId job, const jobs::WorkerId& id) {
+    return JobActive(job) && Assign({.job = job}, id) == jobs::ApplyOutcome::kApplied;
+  }
+
+  /// A new worker reports from the VM of a crashed one.
+  void ComeBack(const jobs::WorkerId& id) {
+    AddWorker(id + "2", "vm-" + id);
+    Wait(200 * kMillisecond);
+  }
+
+  /// The task is assigned to a worker that has crashed just before. Returns whether it was.
+  bool LoseUnbegun(jobs::JobId job, const jobs::WorkerId& id) {
+    Crash(id);
+    if (!AssignIfOpen(job, id)) return false;
+    Answer(Take<StartOrder>(id), OrderOutcome::kUnknown);
+    ComeBack(id);
+    REQUIRE(Waiting({.job = job}));
+    return true;
+  }
+
+  /// The task begins on a worker, which crashes after this time. Returns whether it began.
+  bool LoseBegun(jobs::JobId job, const jobs::WorkerId& id, Micros after, Micros away) {
+    if (!AssignIfOpen(job, id)) return false;
+    const jobs::OrderEffect start = Take<StartOrder>(id);
+    workers.at(id).running = {{.task = {.job = job}, .run = At(job).run, .speed_percent = 100}};
+    if (after == 0) Crash(id);
+    Answer(start, OrderOutcome::kDone);
+    Wait(after);
+    Crash(id);
+    Wait(away);
+    ComeBack(id);
+    REQUIRE(Waiting({.job = job}));
+    return true;
+  }
+
+  bool JobActive(jobs::JobId job) const { return state.FindJob(job)->active(); }
+};
+
+}  // namespace
+
+// Guards against a long-running task that counts as having worked while its worker was down.
+TEST_CASE("the outage of a worker that restarts is no work of its task") {
+  CrashLab lab;
+  REQUIRE(lab.AssignIfOpen(kLongRunningJob, "a"));
+  lab.workers.at("a").running = {{.task = {.job = kLongRunningJob}, .run = 1}};
+  lab.Answer(lab.Take<StartOrder>("a"), OrderOutcome::kDone);
+  lab.Wait(2'500 * kMillisecond);
+  lab.Crash("a");
+  lab.Wait(3'500 * kMillisecond);
+  lab.Report(lab.Restart("a"));
+  lab.silent_workers.clear();
+  while (lab.Pending<jobs::RenewLeaseOrder>("a") > 0) {
+    lab.Answer(lab.Take<jobs::RenewLeaseOrder>("a"), OrderOutcome::kUnknown);
+  }
+  lab.applied.clear();
+  lab.Wait(kSecond);
+  REQUIRE(lab.Waiting({.job = kLongRunningJob}));
+  const auto loss = std::ranges::find_if(lab.applied, [](const jobs::Command& command) {
+    const auto* end = std::get_if<jobs::RecordEnd>(&command);
+    return end != nullptr && end->kind == jobs::EndKind::kLost;
+  });
+  REQUIRE(loss != lab.applied.end());
+  CHECK_FALSE(std::get<jobs::RecordEnd>(*loss).had_worked);
+}
+
+}  // namespace godwitpaddle::testing
