Do not count the crash of a worker under a run that it has not begun

A start that goes to a worker which has just gone dark is assigned. When the worker came back, each task assigned to it counted as one under which it had crashed, also if it had never begun the run. Three of these gave a job up or paused a long-running task.

The leader says with the end of a run whether the worker left its start unanswered. Such a loss is a possible crash: it makes no suspect, no hold and no pause. Five crashes, known and possible, with two known ones give a task up, so that at most two starts follow three crashes as long as two of five starts were answered. A run that an earlier leader started counts as before: this one cannot know.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -65,7 +65,7 @@
     for (const TaskId& task_id : worker.tasks) {
       const Task& task = *state_.FindTask(task_id);
       const bool unwanted = task.done_by_earlier_run || !state_.FindJob(task_id.job)->active();
-      view.runs[task_id] = {.run = task.run, .stop_wanted = unwanted};
+      view.runs[task_id] = {.run = task.run, .stop_wanted = unwanted, .inherited = true};
       unbegun_jobs_.Update(task_id.job);
     }
   }
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -168,7 +168,8 @@
     bool stop_in_flight = false;
     Micros stop_due = 0;  // earliest time of the next stop order
     std::optional<Micros> stop_answered_at;
-    bool begun = false;  // the worker answered the start or listed the run
+    bool begun = false;      // the worker answered the start or listed the run
+    bool inherited = false;  // an earlier leader started it
     /// Set once another incarnation has followed the one that runs it: see WorkerView::alive_at.
     Micros alive_until = 0;
     bool end_proposed = false;
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -336,7 +336,8 @@
                      .kind = kind,
                      .wall_ms = wall,
                      .had_worked = HadWorked(view, task, run),
-                     .begun = run.begun});
+                     .begun = run.begun,
+                     .unanswered = !run.begun && !run.inherited});
 }
 
 void WorkerFleet::SetBegun(const TaskId& task, Run& run) {
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -83,8 +83,11 @@
   bool had_worked = false;
   /// The leader knew that the worker had begun the run. Certain too if `number` is set.
   bool begun = false;
+  /// This leader sent the start, and the worker has neither answered it nor listed the run:
+  /// probably it has not begun the run.
+  bool unanswered = false;
   MSGPACK_DEFINE(worker, incarnation_ms, number, task, run, kind, checkpoint, wall_ms, had_worked,
-                 begun)
+                 begun, unanswered)
 };
 
 /// Adds a worker, or updates its record or incarnation.
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -318,8 +318,8 @@
     // The worker lists the end, so it has not crashed during the run.
     const auto lost = worker->second.lost_runs.find(command.task);
     if (lost != worker->second.lost_runs.end() && lost->second.run == command.run) {
+      ExplainLoss(command.task, lost->second, CrashMark::kNone);
       worker->second.lost_runs.erase(lost);
-      ExplainLoss(command.task, command.run, CrashMark::kNone);
     }
   }
   if (current) {
@@ -375,26 +375,35 @@
 
 void State::CountLoss(Worker& worker, Task& task, const RecordEnd& end, CrashMark crash) {
   if (end.kind != EndKind::kLost && end.kind != EndKind::kStopped) return;
+  const LostRun lost = {.run = end.run, .wall_ms = end.wall_ms, .unanswered = end.unanswered};
   if (end.had_worked) {
     task.crashes.clear();
     task.crashes_alone.clear();
+    task.possible_crashes.clear();
   } else if (crash != CrashMark::kNone) {
     task.lost_ms = end.wall_ms;
-    task.crashes.insert(end.run);
-    if (crash == CrashMark::kAlone) task.crashes_alone.insert(end.run);
+    CountCrash(task, lost, crash);
   } else if (end.kind == EndKind::kLost) {
     task.lost_ms = end.wall_ms;
-    task.unexplained_losses.insert(end.run);
-    worker.lost_runs[end.task] = {.run = end.run, .wall_ms = end.wall_ms};
+    if (!end.unanswered) task.unexplained_losses.insert(end.run);
+    worker.lost_runs[end.task] = lost;
   }
 }
 
-void State::ExplainLoss(const TaskId& id, std::uint32_t run, CrashMark crash) {
+void State::CountCrash(Task& task, const LostRun& lost, CrashMark crash) {
+  if (lost.unanswered) {
+    task.possible_crashes.insert(lost.run);
+    return;
+  }
+  task.crashes.insert(lost.run);
+  if (crash == CrashMark::kAlone) task.crashes_alone.insert(lost.run);
+}
+
+void State::ExplainLoss(const TaskId& id, const LostRun& lost, CrashMark crash) {
   Task* task = MutableTask(id);
-  if (task == nullptr || task->unexplained_losses.erase(run) == 0) return;
-  if (crash == CrashMark::kNone) return;
-  task->crashes.insert(run);
-  if (crash == CrashMark::kAlone) task->crashes_alone.insert(run);
+  if (task == nullptr) return;
+  task->unexplained_losses.erase(lost.run);
+  if (crash != CrashMark::kNone) CountCrash(*task, lost, crash);
 }
 
 void State::MarkCrash(Worker& worker, bool planned, std::int64_t restarted_ms) {
@@ -407,7 +416,7 @@
   }
   for (const auto& [id, lost] : worker.lost_runs) {
     const bool recent = restarted_ms < lost.wall_ms + kMaxExplainedMs;
-    ExplainLoss(id, lost.run, crashed && recent ? mark : CrashMark::kNone);
+    ExplainLoss(id, lost, crashed && recent ? mark : CrashMark::kNone);
   }
   worker.lost_runs.clear();
 }
@@ -504,7 +513,7 @@
     return ApplyOutcome::kRejected;
   }
   for (const auto& [id, lost] : worker->second.lost_runs) {
-    ExplainLoss(id, lost.run, CrashMark::kNone);
+    ExplainLoss(id, lost, CrashMark::kNone);
   }
   RemoveFromIndexes(worker->second.record);
   workers_.erase(worker);
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -39,6 +39,10 @@
 /// becomes known before whether they have crashed. At most two starts may follow three crashes.
 inline constexpr std::size_t kMaxLossesWithoutHold = 4;
 inline constexpr std::int64_t kCrashHoldMs = 12'000;
+/// Crashes, known and possible, from which on a task is given up under which this many workers are
+/// known to have crashed.
+inline constexpr std::size_t kMaxPossibleCrashes = 5;
+inline constexpr std::size_t kKnownAmongPossible = 2;
 /// First pause of a long-running task after kMaxCrashesAlone crashes, alone or not. Its job never
 /// fails: the other tasks of the step are at work.
 inline constexpr std::int64_t kCrashPauseMs = 12'000;
@@ -62,15 +66,19 @@
   /// Numbers of the runs that were lost with workers of which it is not known whether they crashed.
   std::set<std::uint32_t> unexplained_losses;
   std::int64_t lost_ms = 0;  // Unix time of the latest loss
+  /// Numbers of the runs whose workers crashed and have probably not begun them.
+  std::set<std::uint32_t> possible_crashes;
   MSGPACK_DEFINE(phase, run, failed_runs, worker, checkpoint, done_by_earlier_run, counted_failures,
-                 crash, crashes, crashes_alone, unexplained_losses, lost_ms)
+                 crash, crashes, crashes_alone, unexplained_losses, lost_ms, possible_crashes)
 
   /// Whether the task may have crashed a worker: it is started where it can harm least.
   bool suspect() const { return !crashes.empty(); }
   /// Whether so many workers have crashed under the task that it is given up: its job fails, or, if
   /// it is long-running, it pauses.
   bool given_up() const {
-    return crashes_alone.size() >= kMaxCrashesAlone || crashes.size() >= kMaxCrashes;
+    return crashes_alone.size() >= kMaxCrashesAlone || crashes.size() >= kMaxCrashes ||
+           (crashes.size() >= kKnownAmongPossible &&
+            crashes.size() + possible_crashes.size() >= kMaxPossibleCrashes);
   }
   /// Whether a long-running task pauses after its latest loss. The pause doubles with each crash.
   bool paused(std::int64_t wall_ms) const {
@@ -156,7 +164,8 @@
 struct LostRun {
   std::uint32_t run = 0;
   std::int64_t wall_ms = 0;  // Unix time of the loss
-  MSGPACK_DEFINE(run, wall_ms)
+  bool unanswered = false;   // see RecordEnd
+  MSGPACK_DEFINE(run, wall_ms, unanswered)
 };
 
 struct Worker {
@@ -308,7 +317,9 @@
   void MarkCrash(Worker& worker, bool planned, std::int64_t restarted_ms);
   void MarkEarlierWorkers(const RecordWorker& command);
   /// Records that the run is explained: it was lost because its worker crashed, or not.
-  void ExplainLoss(const TaskId& id, std::uint32_t run, CrashMark crash);
+  void ExplainLoss(const TaskId& id, const LostRun& lost, CrashMark crash);
+  /// Counts the crash of a worker to which the run was assigned.
+  static void CountCrash(Task& task, const LostRun& lost, CrashMark crash);
   /// Counts the end of a current run that its worker did not list.
   void CountLoss(Worker& worker, Task& task, const RecordEnd& end, CrashMark crash);
   /// Applies that a task of the gang is done in `run`: all tasks of the gang are done, those that
--- a/tests/never_begun_run_test.cc
+++ b/tests/never_begun_run_test.cc
@@ -76,6 +76,41 @@
 
 }  // namespace
 
+// Guards against a job that is shown as failed, or a long-running task that pauses, although no
+// worker has crashed under it: its starts went to workers that had just crashed.
+TEST_CASE("a run that no worker has begun does not count as crashed") {
+  CrashLab lab;
+  SECTION("so that its job goes on") {
+    for (const jobs::WorkerId& id : kWorkers) CHECK(lab.LoseUnbegun(kOrdinaryJob, id));
+    REQUIRE(lab.JobActive(kOrdinaryJob));
+    lab.AddWorker("f", "vm-f");
+    CHECK(lab.Assign(lab.FirstTask(), "f") == jobs::ApplyOutcome::kApplied);
+  }
+  SECTION("so that a long-running task does not pause") {
+    for (const jobs::WorkerId& id : kWorkers) REQUIRE(lab.LoseUnbegun(kLongRunningJob, id));
+    CHECK_FALSE(lab.At(kLongRunningJob).paused(lab.Wall()));
+  }
+  SECTION("nor do three of them and one crash") {
+    REQUIRE(lab.LoseBegun(kOrdinaryJob, "a", 100 * kMillisecond, kSecond));
+    for (const char* id : {"b", "c", "d"}) CHECK(lab.LoseUnbegun(kOrdinaryJob, id));
+    REQUIRE(lab.JobActive(kOrdinaryJob));
+    CHECK_FALSE(lab.At(kOrdinaryJob).given_up());
+  }
+  SECTION("but three of them and two crashes do") {
+    for (const char* id : {"a", "b"}) {
+      REQUIRE(lab.LoseBegun(kOrdinaryJob, id, 100 * kMillisecond, kSecond));
+    }
+    for (const char* id : {"c", "d", "e"}) REQUIRE(lab.LoseUnbegun(kOrdinaryJob, id));
+    CHECK_FALSE(lab.JobActive(kOrdinaryJob));
+  }
+  SECTION("but three crashes do") {
+    for (const char* id : {"a", "b", "c"}) {
+      REQUIRE(lab.LoseBegun(kOrdinaryJob, id, 100 * kMillisecond, kSecond));
+    }
+    CHECK_FALSE(lab.JobActive(kOrdinaryJob));
+  }
+}
+
 // Guards against a long-running task that counts as having worked while its worker was down.
 TEST_CASE("the outage of a worker that restarts is no work of its task") {
   CrashLab lab;
