Pause a long-running task only if its workers crash as it starts

Callers saw long-running tasks that did not run for 12, 24 or 48 s, beside workers with room, after three or more of their workers had crashed for reasons of their own (LOST: a task that lasts must be restarted however it ends). Any crash within five seconds of a start counted.

A pause protects workers from a task that takes each one down as it starts. A worker that answers an order sent 100 ms after the start has survived it: its crash makes the task a suspect still, and no pause. The leader reads the run lists of a worker without a wait until a suspect has survived its start there. A run that an earlier leader started counts for no pause.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -396,7 +396,9 @@
     if (outcome != ApplyOutcome::kApplied || view == nullptr) return;
     view->runs_due = 0;
     Run& run = view->runs[assign->task];
-    run = {.run = assign->run, .phase = RunPhase::kStarting};
+    run = {.run = assign->run,
+           .phase = RunPhase::kStarting,
+           .suspect = IsLongRunning(assign->task) && state_.FindTask(assign->task)->suspect()};
     const bool accepts = AcceptsStarts(state_.FindWorker(assign->worker)->record);
     if (view->confirmed && accepts && !view->expected_down) {
       SendStart(assign->worker, *view, assign->task, run, now, out);
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -169,6 +169,7 @@
     Micros stop_due = 0;  // earliest time of the next stop order
     std::optional<Micros> stop_answered_at;
     bool begun = false;      // the worker answered the start or listed the run
+    bool suspect = false;    // a long-running task that may have crashed a worker before
     bool inherited = false;  // an earlier leader started it
     /// Set once another incarnation has followed the one that runs it: see WorkerView::alive_at.
     Micros alive_until = 0;
--- a/control/worker_orders.cc
+++ b/control/worker_orders.cc
@@ -96,7 +96,12 @@
   const bool all_running = std::ranges::all_of(view.runs, [](const auto& entry) {
     return entry.second.phase == RunPhase::kRunning && !entry.second.stop_wanted;
   });
-  if (renew && view.lists_received && all_running) renewal.max_wait_ms = kRenewalWaitMs;
+  const bool starts_suspect = std::ranges::any_of(view.runs, [&](const auto& entry) {
+    return entry.second.suspect && now - entry.second.started_at < detail::kStartTime;
+  });
+  // Shows at once whether the worker survives the start of a suspect.
+  const bool may_wait = renew && view.lists_received && all_running && !starts_suspect;
+  if (may_wait) renewal.max_wait_ms = kRenewalWaitMs;
   view.renewal_in_flight = true;
   view.renewal_sent_at = now;
   CountRenewal(now);
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -329,15 +329,17 @@
            {"begun", run.begun ? "true" : "false"},
            {"ran_ms", std::to_string(KnownRunTime(view, run) / kMillisecond)}},
           IsRoutine(conclusion) ? Severity::kInfo : Severity::kWarning);
-  propose_(RecordEnd{.worker = worker,
-                     .incarnation_ms = view.incarnation,
-                     .task = task,
-                     .run = run.run,
-                     .kind = kind,
-                     .wall_ms = wall,
-                     .had_worked = HadWorked(view, task, run),
-                     .begun = run.begun,
-                     .unanswered = !run.begun && !run.inherited});
+  propose_(
+      RecordEnd{.worker = worker,
+                .incarnation_ms = view.incarnation,
+                .task = task,
+                .run = run.run,
+                .kind = kind,
+                .wall_ms = wall,
+                .had_worked = HadWorked(view, task, run),
+                .begun = run.begun,
+                .unanswered = !run.begun && !run.inherited,
+                .survived_start = run.inherited || KnownRunTime(view, run) >= detail::kStartTime});
 }
 
 void WorkerFleet::SetBegun(const TaskId& task, Run& run) {
--- a/control/worker_timing.h
+++ b/control/worker_timing.h
@@ -17,6 +17,8 @@
 /// Pause before an order is sent again, and before a worker that refused a start for lack of
 /// capacity, or did not receive it, gets another.
 inline constexpr Micros kRetryPause = 300 * kMillisecond;
+/// A worker that is heard this long after a run has begun has survived the start of that run.
+inline constexpr Micros kStartTime = 100 * kMillisecond;
 /// Pause before a worker without runs that is expected to go down, and did not answer, is queried
 /// again.
 inline constexpr Micros kDownRetryPause = kSecond;
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -86,8 +86,11 @@
   /// This leader sent the start, and the worker has neither answered it nor listed the run:
   /// probably it has not begun the run.
   bool unanswered = false;
+  /// The worker is known to have gone on for a while after it had begun the run: if it crashed, the
+  /// start is not the cause.
+  bool survived_start = false;
   MSGPACK_DEFINE(worker, incarnation_ms, number, task, run, kind, checkpoint, wall_ms, had_worked,
-                 begun, unanswered)
+                 begun, unanswered, survived_start)
 };
 
 /// Adds a worker, or updates its record or incarnation.
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -375,11 +375,15 @@
 
 void State::CountLoss(Worker& worker, Task& task, const RecordEnd& end, CrashMark crash) {
   if (end.kind != EndKind::kLost && end.kind != EndKind::kStopped) return;
-  const LostRun lost = {.run = end.run, .wall_ms = end.wall_ms, .unanswered = end.unanswered};
+  const LostRun lost = {.run = end.run,
+                        .wall_ms = end.wall_ms,
+                        .unanswered = end.unanswered,
+                        .survived_start = end.survived_start};
   if (end.had_worked) {
     task.crashes.clear();
     task.crashes_alone.clear();
     task.possible_crashes.clear();
+    task.start_crashes.clear();
   } else if (crash != CrashMark::kNone) {
     task.lost_ms = end.wall_ms;
     CountCrash(task, lost, crash);
@@ -397,6 +401,7 @@
   }
   task.crashes.insert(lost.run);
   if (crash == CrashMark::kAlone) task.crashes_alone.insert(lost.run);
+  if (!lost.survived_start) task.start_crashes.insert(lost.run);
 }
 
 void State::ExplainLoss(const TaskId& id, const LostRun& lost, CrashMark crash) {
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -43,8 +43,8 @@
 /// known to have crashed.
 inline constexpr std::size_t kMaxPossibleCrashes = 5;
 inline constexpr std::size_t kKnownAmongPossible = 2;
-/// First pause of a long-running task after kMaxCrashesAlone crashes, alone or not. Its job never
-/// fails: the other tasks of the step are at work.
+/// First pause of a long-running task after kMaxCrashesAlone crashes right after its starts, alone
+/// or not. Its job never fails: the other tasks of the step are at work.
 inline constexpr std::int64_t kCrashPauseMs = 12'000;
 inline constexpr std::size_t kMaxPauseDoublings = 4;
 
@@ -68,8 +68,11 @@
   std::int64_t lost_ms = 0;  // Unix time of the latest loss
   /// Numbers of the runs whose workers crashed and have probably not begun them.
   std::set<std::uint32_t> possible_crashes;
+  /// Those among `crashes` that are not known to have survived their start.
+  std::set<std::uint32_t> start_crashes;
   MSGPACK_DEFINE(phase, run, failed_runs, worker, checkpoint, done_by_earlier_run, counted_failures,
-                 crash, crashes, crashes_alone, unexplained_losses, lost_ms, possible_crashes)
+                 crash, crashes, crashes_alone, unexplained_losses, lost_ms, possible_crashes,
+                 start_crashes)
 
   /// Whether the task may have crashed a worker: it is started where it can harm least.
   bool suspect() const { return !crashes.empty(); }
@@ -80,10 +83,12 @@
            (crashes.size() >= kKnownAmongPossible &&
             crashes.size() + possible_crashes.size() >= kMaxPossibleCrashes);
   }
-  /// Whether a long-running task pauses after its latest loss. The pause doubles with each crash.
+  /// Whether a long-running task pauses after its latest loss. The pause doubles with each crash. A
+  /// task that is known to have survived its starts does not pause: it must run.
   bool paused(std::int64_t wall_ms) const {
-    if (crashes.size() < kMaxCrashesAlone) return false;
-    const std::size_t doublings = std::min(crashes.size() - kMaxCrashesAlone, kMaxPauseDoublings);
+    const std::size_t count = start_crashes.size();
+    if (count < kMaxCrashesAlone) return false;
+    const std::size_t doublings = std::min(count - kMaxCrashesAlone, kMaxPauseDoublings);
     return wall_ms < lost_ms + (kCrashPauseMs << doublings);
   }
   /// Whether the next start has to wait until more is known about the losses.
@@ -163,9 +168,10 @@
 /// A run that was lost with a worker of which it is not known whether it crashed.
 struct LostRun {
   std::uint32_t run = 0;
-  std::int64_t wall_ms = 0;  // Unix time of the loss
-  bool unanswered = false;   // see RecordEnd
-  MSGPACK_DEFINE(run, wall_ms, unanswered)
+  std::int64_t wall_ms = 0;     // Unix time of the loss
+  bool unanswered = false;      // see RecordEnd
+  bool survived_start = false;  // see RecordEnd
+  MSGPACK_DEFINE(run, wall_ms, unanswered, survived_start)
 };
 
 struct Worker {
--- a/tests/never_begun_run_test.cc
+++ b/tests/never_begun_run_test.cc
@@ -136,4 +136,50 @@
   CHECK_FALSE(std::get<jobs::RecordEnd>(*loss).had_worked);
 }
 
+// Guards against a long-running task that waits for twelve seconds and more, whatever room there
+// is, because three of its workers have crashed for other reasons within five seconds each.
+TEST_CASE("a long-running task whose workers have crashed three times in a row") {
+  CrashLab lab;
+  SECTION("each time right after its start pauses") {
+    for (const char* id : {"a", "b", "c"}) REQUIRE(lab.LoseBegun(kLongRunningJob, id, 0, kSecond));
+    CHECK(lab.At(kLongRunningJob).paused(lab.Wall()));
+  }
+  SECTION("each time under a leader that has not seen the start does not pause") {
+    for (const char* id : {"a", "b", "c"}) {
+      REQUIRE(lab.AssignIfOpen(kLongRunningJob, id));
+      lab.Crash(id);
+      lab.ChangeLeader();
+      lab.Wait(kSecond);
+      lab.ComeBack(id);
+      lab.Wait(11 * kSecond);
+      REQUIRE(lab.Waiting({.job = kLongRunningJob}));
+    }
+    CHECK_FALSE(lab.At(kLongRunningJob).paused(lab.Wall()));
+  }
+  SECTION("is watched closely until it has survived its next start") {
+    REQUIRE(lab.LoseBegun(kLongRunningJob, "a", 0, kSecond));
+    REQUIRE(lab.AssignIfOpen(kLongRunningJob, "b"));
+    lab.workers.at("b").running = {
+        {.task = {.job = kLongRunningJob}, .run = 2, .speed_percent = 100}};
+    lab.Answer(lab.Take<StartOrder>("b"), OrderOutcome::kDone);
+    lab.silent_workers.push_back("b");
+    const auto wait_of_next_renewal = [&] {
+      lab.Wait(100 * kMillisecond);
+      const jobs::OrderEffect renewal = lab.Take<jobs::RenewLeaseOrder>("b");
+      lab.Answer(renewal, lab.MakeLists(lab.workers.at("b")));
+      return std::get<jobs::RenewLeaseOrder>(renewal.order).max_wait_ms;
+    };
+    CHECK(wait_of_next_renewal() == 0);
+    wait_of_next_renewal();
+    CHECK(wait_of_next_renewal() > 0);
+  }
+  SECTION("while it worked does not pause") {
+    for (const char* id : {"a", "b", "c"}) {
+      REQUIRE(lab.LoseBegun(kLongRunningJob, id, 2 * kSecond, kSecond));
+    }
+    CHECK(lab.At(kLongRunningJob).suspect());
+    CHECK_FALSE(lab.At(kLongRunningJob).paused(lab.Wall()));
+  }
+}
+
 }  // namespace godwitpaddle::testing
