Do not take failures of long-running tasks for failures of their workers

Callers saw tasks wait beside sound workers that were in backoff for up to 16 s. Two failed runs in a row put a worker into backoff, and only a run that ends as done sets the count back.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -417,8 +417,8 @@
       view->runs_due = 0;
       return;
     }
+    CountEnd(*view, end->task, run->second, end->kind, now);
     view->runs.erase(run);
-    CountEnd(*view, end->kind, now);
   } else if (const auto* update = std::get_if<RecordWorker>(&command)) {
     if (state_.FindWorker(update->record.id) == nullptr) return;
     WorkerView& view = AddView(update->record.id);
@@ -480,12 +480,14 @@
   }
 }
 
-void WorkerFleet::CountEnd(WorkerView& view, EndKind kind, Micros now) {
+void WorkerFleet::CountEnd(WorkerView& view, const TaskId& task, const Run& run, EndKind kind,
+                           Micros now) {
   if (kind == EndKind::kDone) {
     view.consecutive_failures = 0;
     view.recently_successful = true;
   }
   if (kind != EndKind::kFailed) return;
+  if (HadWorked(view, task, run)) return;
   view.recently_successful = false;
   if (++view.consecutive_failures < kFailuresToBackOff) return;
   const int doublings =
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -348,7 +348,9 @@
   void TickRuns(const WorkerId& worker, WorkerView& view, Micros now, Outbox& out);
   /// Returns the time of the run's next start or stop; kNever if it only waits for the worker.
   static Micros NextSend(const WorkerView& view, const Run& run);
-  void CountEnd(WorkerView& view, EndKind kind, Micros now);
+  /// Counts the failures of the worker's runs. That of a long-running task which had worked says
+  /// nothing about the worker: it may fail at any time.
+  void CountEnd(WorkerView& view, const TaskId& task, const Run& run, EndKind kind, Micros now);
   /// Stops the current runs of those tasks in the step of `id` that an earlier run has completed.
   void StopCompletedTasks(const TaskId& id, Micros now, Outbox& out);
   static void LogIncarnation(const WorkerRecord& record, const WorkerView& previous, Outbox& out);
