Let long-running tasks join a suspect after two seconds

Callers saw long-running tasks that did not run beside workers with room (LOST). A suspect gets an empty worker for itself, a long-running one for six seconds. After a crash of more long-running tasks than a service has workers, each worker was reserved for one of them, and the others waited six seconds a round, in series after the lease.

A long-running task that has waited for two seconds also takes a worker that a suspect has for itself, or that is kept for one, if no other has room. long_running_room_test: after four seconds 2 of 6 tasks ran without this, 6 do now. crashing_task_test passes unchanged; a form that let idle ordinary jobs join too failed in it (an innocent job was given up) and was dropped.

--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -21,7 +21,8 @@
 /// channels.
 constexpr std::size_t kMaxUnansweredStarts = 64;
 /// A suspect starts beside other tasks if no worker has become empty for this long after its latest
-/// loss: a job must not be idle for 3 s beside free room.
+/// loss, and a long-running task joins a suspect that has a worker for itself: neither must wait
+/// for 3 s beside free room.
 constexpr std::int64_t kAloneWaitMs = 2'000;
 /// A job with nothing running may use a leaving worker once it has waited this long.
 constexpr std::int64_t kLeavingWaitMs = 1'000;
@@ -148,13 +149,15 @@
 }
 
 Candidate PlanWalk::MakeCandidate(const Cursor& cursor, const Job& job) {
-  return {.job = &job,
-          .occurrence = cursor.key.occurrence,
-          .step = cursor.key.step,
-          .service = cursor.service,
-          .room = &RoomOf(*cursor.service),
-          .team = TeamOf(job),
-          .waited_ms = input_.wall_ms - DueMs(job, cursor.key.occurrence)};
+  Candidate candidate{.job = &job,
+                      .occurrence = cursor.key.occurrence,
+                      .step = cursor.key.step,
+                      .service = cursor.service,
+                      .room = &RoomOf(*cursor.service),
+                      .team = TeamOf(job),
+                      .waited_ms = input_.wall_ms - DueMs(job, cursor.key.occurrence)};
+  candidate.joins_in = JoinsIn(candidate);
+  return candidate;
 }
 
 void PlanWalk::Examine(Cursor& cursor) {
@@ -163,15 +166,19 @@
   ServiceRoom& room = RoomOf(*cursor.service);
   const Resources& footprint = cursor.queue->waiting.at(cursor.key);
   // A step that needs no more than this one has not fitted on any worker in this plan.
-  if (!room.has_kept && room.smallest_unplaced && room.smallest_unplaced->FitsInto(footprint)) {
+  const auto find_job = [&]() -> const Job& { return *state_.FindJob(cursor.key.job); };
+  const bool others_open =
+      room.has_kept ||
+      (room.has_reserved && room.HasOthersFor(find_job().spec.steps[cursor.key.step]));
+  if (!others_open && room.smallest_unplaced && room.smallest_unplaced->FitsInto(footprint)) {
     ++cursor.futile;
     const bool placeable = room.largest_placeable && footprint.FitsInto(*room.largest_placeable);
     if (placeable || unplaceable_.contains(*cursor.service)) return;
     if (++room.placeable_checks > kMaxPlaceableChecks) return;
     cursor.futile += kScanCost;
-    return CheckPlaceable(MakeCandidate(cursor, *state_.FindJob(cursor.key.job)));
+    return CheckPlaceable(MakeCandidate(cursor, find_job()));
   }
-  const Job& job = *state_.FindJob(cursor.key.job);
+  const Job& job = find_job();
   const StartRank rank =
       JobTimes(job, input_).Rank(job, cursor.key.occurrence, cursor.key.step, input_.wall_ms);
   if (rank > cursor.key.rank) return rank_anew_(job.id);  // its turn comes later
@@ -243,6 +250,7 @@
     const bool in_trial = isolation_.trials.contains(id);
     const bool is_kept = !one.leaving && kept != isolation_.kept.end() && kept->second.worker == id;
     if (is_kept) room.has_kept = true;
+    room.has_reserved = room.has_reserved || in_trial || is_kept || one.leaving;
     const bool unanswered = one.unanswered_starts >= kMaxUnansweredStarts;
     const Resources taken = worker.used + load.used;
     room.used += taken;
@@ -255,8 +263,8 @@
          .long_running_used = worker.long_running_used + load.long_running_used,
          .recently_successful = one.recently_successful,
          .leaving = one.leaving,
-         .closed = in_trial || is_kept || unanswered,
-         .kept = is_kept && !unanswered,
+         .unanswered = unanswered,
+         .kept = is_kept,
          .in_trial = in_trial});
   }
   room.low_use = (room.used + room.used).FitsInto(room.capacity);
@@ -352,9 +360,9 @@
   const std::uint32_t run = candidate.Run().tasks[index].run + 1;
   AddStart(candidate, index, run, *room);
   ++per_worker[id];
-  room->closed = true;
   room->kept = false;
   room->in_trial = true;
+  candidate.room->has_reserved = true;
   isolation_.trials[id] = {.task = starts_.back().task, .run = run, .planned = input_.now};
   const auto kept = isolation_.kept.find(*candidate.service);
   if (kept != isolation_.kept.end() && kept->second.worker == id) isolation_.kept.erase(kept);
@@ -375,9 +383,9 @@
     if (best == nullptr || cost(room) < cost(*best)) best = &room;
   }
   if (best == nullptr) return;
-  best->closed = true;
   best->kept = true;
   service.has_kept = true;
+  service.has_reserved = true;
   isolation_.kept[*candidate.service] = {.worker = best->worker->record.id, .wanted = input_.now};
 }
 
@@ -429,8 +437,20 @@
   return true;
 }
 
+bool PlanWalk::JoinsIn(const Candidate& candidate) const {
+  if (!candidate.Spec().long_running || candidate.waited_ms < kAloneWaitMs) return false;
+  return std::ranges::any_of(candidate.Run().tasks, [&](const Task& task) {
+    // The time of day may have been set back since the loss.
+    const std::int64_t waited_ms = input_.wall_ms - task.lost_ms;
+    return task.phase == TaskPhase::kWaiting && (waited_ms < 0 || waited_ms >= kAloneWaitMs);
+  });
+}
+
 bool PlanWalk::IsOpenFor(const Candidate& candidate, const WorkerRoom& room) {
-  if (room.closed) return room.kept && candidate.waited_ms >= kKeepForOverdueMs;
+  if (room.unanswered) return false;
+  const bool overdue = candidate.waited_ms >= kKeepForOverdueMs;
+  if (room.in_trial && !candidate.joins_in) return false;
+  if (room.kept && !candidate.joins_in && !overdue) return false;
   if (!room.leaving) return true;
   // The move can wait, or take another VM. While the service is well used, its jobs wait for others
   // to end, so that VMs get free for moves.
@@ -445,20 +465,21 @@
   const Step& step = candidate.Spec();
   ServiceRoom& service = *candidate.room;
   const Resources footprint = step.footprint();
-  const bool may_use_kept = service.has_kept && candidate.waited_ms >= kKeepForOverdueMs;
+  const bool others_open =
+      (service.has_kept && candidate.waited_ms >= kKeepForOverdueMs) || service.HasOthersFor(step);
   const bool skips =
-      service.smallest_unplaced && service.smallest_unplaced->FitsInto(footprint) && !may_use_kept;
+      service.smallest_unplaced && service.smallest_unplaced->FitsInto(footprint) && !others_open;
   if (skips) return nullptr;
   scanned_ = true;
   WorkerRoom* best = nullptr;
-  std::tuple<bool, bool, bool, bool, std::int64_t> best_score;
+  std::tuple<bool, bool, bool, bool, bool, std::int64_t> best_score;
   bool leaving_has_room = false;
   for (WorkerRoom& room : service.workers) {
     const WorkerRecord& record = room.worker->record;
     if (!footprint.FitsInto(room.free) || !Suits(step, record)) continue;
     if (!rack.empty() && record.rack() != rack) continue;
     if (!IsOpenFor(candidate, room)) {
-      leaving_has_room = leaving_has_room || (room.leaving && !room.closed && service.low_use);
+      leaving_has_room = leaving_has_room || (room.leaving && !room.closed() && service.low_use);
       continue;
     }
     if (step.max_per_worker > 0) {
@@ -468,7 +489,8 @@
     const bool near_data = step.data_rack.empty() || record.rack() == step.data_rack;
     // Prefers fuller workers, so that others become idle, and concentrates long-running tasks on
     // few workers. A task's last attempt prefers a recently successful worker.
-    const std::tuple score(!room.leaving, near_data, room.recently_successful || !last_attempt,
+    const std::tuple score(!room.closed(), !room.leaving, near_data,
+                           room.recently_successful || !last_attempt,
                            step.long_running && room.long_running_tasks > 0, -room.free.cpu);
     if (best != nullptr && score <= best_score) continue;
     best = &room;
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -37,10 +37,13 @@
   std::size_t long_running_tasks = 0;  // with those of unapplied starts
   Resources long_running_used;
   bool recently_successful = false;
-  bool leaving = false;   // see UsableWorker
-  bool closed = false;    // for tasks that are not suspects
-  bool kept = false;      // see KeptWorker; also closed
-  bool in_trial = false;  // also closed for suspects
+  bool leaving = false;     // see UsableWorker
+  bool unanswered = false;  // too many of its starts wait for an answer
+  bool kept = false;        // see KeptWorker
+  bool in_trial = false;    // a suspect has it for itself
+
+  /// Whether it gets no tasks but those that join in, see PlanWalk::JoinsIn.
+  bool closed() const { return unanswered || kept || in_trial; }
 };
 
 /// Free resources of the workers of one service.
@@ -49,13 +52,17 @@
   std::optional<Resources> smallest_unplaced;  // fitted on no worker; larger requests are skipped
   /// Would fit once the short tasks of a worker have ended; smaller requests would too.
   std::optional<Resources> largest_placeable;
-  int placeable_checks = 0;  // of skipped steps
-  bool has_kept = false;     // a worker is kept for a task
-  bool low_use = false;      // at most half of each resource is in use
-  Resources capacity;        // of all workers
-  Resources used;            // of it, unapplied starts included
+  int placeable_checks = 0;   // of skipped steps
+  bool has_kept = false;      // a worker is kept for a task
+  bool has_reserved = false;  // a worker is kept, leaves, or a suspect has it for itself
+  bool low_use = false;       // at most half of each resource is in use
+  Resources capacity;         // of all workers
+  Resources used;             // of it, unapplied starts included
   /// Tasks of this plan that wait for a place on the rack.
   std::map<std::string, std::size_t> near_waits;
+
+  /// Whether workers that other tasks must not use may have room for the step.
+  bool HasOthersFor(const Step& step) const { return has_reserved && step.long_running; }
 };
 
 /// Resources that a team uses, including the starts planned so far.
@@ -73,6 +80,7 @@
   ServiceRoom* room = nullptr;
   TeamUsage* team = nullptr;
   std::int64_t waited_ms = 0;  // since the occurrence was due
+  bool joins_in = false;       // see PlanWalk::JoinsIn
 
   const Step& Spec() const { return job->spec.steps[step]; }
   const StepRun& Run() const { return job->At(occurrence, step); }
@@ -148,6 +156,9 @@
   void PlaceAlone(const Candidate& candidate, std::uint32_t index,
                   std::map<WorkerId, std::uint32_t>& per_worker);
   void KeepWorker(const Candidate& candidate);
+  /// Whether the candidate may also use a worker that a suspect has for itself, or that is kept, if
+  /// no other has room: it is long-running, and a task of it has waited.
+  bool JoinsIn(const Candidate& candidate) const;
   /// Whether the worker may get tasks of the candidate that are not suspects.
   static bool IsOpenFor(const Candidate& candidate, const WorkerRoom& room);
   /// Returns the best worker for a task, of the rack if `rack` is not empty; null if none has room.
