Give workers only the lease that the next leader assumes

Tasks could run twice. A leader that found a worker restarted assumed that it may hold the longest lease, 10 s, and the orders carried the later of what is assumed and what is given, so that the assumption became a lease. The next leader assumed the usual 4 s and started the tasks again.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -147,10 +147,11 @@
 }
 
 std::int64_t WorkerFleet::ExtendLease(WorkerView& view, std::int64_t lease_ms, Micros now) const {
-  view.lease_end_ms = std::max(view.lease_end_ms, EstimateClock(view, now) + lease_ms);
+  const std::int64_t end_ms = EstimateClock(view, now) + lease_ms;
+  view.lease_end_ms = std::max(view.lease_end_ms, end_ms);
   view.leases_expire_by =
       view.clock_at + MaxLeaseDuration(view.lease_end_ms - view.clock_ms) + kLeaseExpiryMargin;
-  return view.lease_end_ms;
+  return end_ms;
 }
 
 // ---- heartbeats ----
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -291,8 +291,9 @@
                                      const OrderReply& reply);
   /// Returns what the worker's clock shows now, in milliseconds, if it runs at the leader's rate.
   std::int64_t EstimateClock(const WorkerView& view, Micros now) const;
-  /// Extends the worker's lease to at least `lease_ms` from now and returns its end on the worker's
-  /// clock.
+  /// Extends the worker's lease to at least `lease_ms` from now and returns that end on the
+  /// worker's clock. What the worker may hold besides, see assumed_lease_ms, is not given to it:
+  /// the next leader would not know of it.
   std::int64_t ExtendLease(WorkerView& view, std::int64_t lease_ms, Micros now) const;
   void SendOrder(SentOrder sent, Order order, std::int64_t timeout_ms, Outbox& out);
   void SendStart(const WorkerId& worker, WorkerView& view, const TaskId& task, Run& run, Micros now,
