Remember a restart that an answer shows, also under the next leader

Tasks could run twice. A worker restarted under its id unnoticed and carried out a start that was meant for its former incarnation, whose clock showed more: it held the longest lease, 10 s. Its answer showed the restart by its clock, but the leader went on with the lease of the former incarnation, 4 s, and so did the next one. When the worker was cut off, the task started again.

The answer of another incarnation extends the time to wait to the longest lease, whatever arrives late from the former one, and is recorded, so that the next leader waits as long. Not covered: a restart that no answer shows, and one whose record is lost with the leader.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -60,7 +60,12 @@
     // incarnation, which may have given it any lease up to the longest.
     const bool young =
         wall - worker.record.incarnation_ms < kYoungIncarnationLeases * options_.longest_lease_ms;
-    if (young && worker.restarted) view.assumed_lease_ms = options_.longest_lease_ms;
+    const bool restart_seen =
+        worker.restart_seen_ms != 0 &&
+        wall - worker.restart_seen_ms < kYoungIncarnationLeases * options_.longest_lease_ms;
+    if ((young && worker.restarted) || restart_seen) {
+      view.assumed_lease_ms = options_.longest_lease_ms;
+    }
     view.leases_expire_by = now + MaxLeaseDuration(view.assumed_lease_ms) + kLeaseExpiryMargin;
     for (const TaskId& task_id : worker.tasks) {
       const Task& task = *state_.FindTask(task_id);
@@ -91,6 +96,7 @@
   view.lease_end_ms = 0;
   view.lists_received = false;
   view.confirmed = false;
+  view.restart_seen_at = 0;
   view.alive_at = 0;
   view.list_connection = 0;
   view.replaced = false;
@@ -115,7 +121,7 @@
 
 // ---- clocks and leases ----
 
-void WorkerFleet::RecordClock(WorkerView& view, std::int64_t clock_ms, Micros now) {
+void WorkerFleet::RecordClock(WorkerView& view, std::int64_t clock_ms, Micros now) const {
   if (clock_ms <= 0) return;
   if (!view.has_clock) {
     // An earlier leader may have renewed the lease just before this term began.
@@ -126,7 +132,7 @@
   view.has_clock = true;
   view.clock_ms = clock_ms;
   view.clock_at = now;
-  view.leases_expire_by = now + MaxLeaseDuration(view.lease_end_ms - clock_ms) + kLeaseExpiryMargin;
+  SetLeaseExpiry(view);
 }
 
 std::int64_t WorkerFleet::MinClockAt(const WorkerView& view, Micros time) {
@@ -149,9 +155,19 @@
 std::int64_t WorkerFleet::ExtendLease(WorkerView& view, std::int64_t lease_ms, Micros now) const {
   const std::int64_t end_ms = EstimateClock(view, now) + lease_ms;
   view.lease_end_ms = std::max(view.lease_end_ms, end_ms);
+  SetLeaseExpiry(view);
+  return end_ms;
+}
+
+void WorkerFleet::SetLeaseExpiry(WorkerView& view) const {
   view.leases_expire_by =
       view.clock_at + MaxLeaseDuration(view.lease_end_ms - view.clock_ms) + kLeaseExpiryMargin;
-  return end_ms;
+  if (view.restart_seen_at == 0) return;
+  view.leases_expire_by = std::max(view.leases_expire_by, LongestLeaseExpiry(view.restart_seen_at));
+}
+
+Micros WorkerFleet::LongestLeaseExpiry(Micros time) const {
+  return time + MaxLeaseDuration(options_.longest_lease_ms) + kLeaseExpiryMargin;
 }
 
 // ---- heartbeats ----
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -200,6 +200,7 @@
     Micros expected_down_at = 0;        // time of the newest report that it goes down
     Micros expected_down_since = 0;     // time of the first such report
     bool replaced = false;              // another worker has its VM or its address
+    Micros restart_seen_at = 0;         // see OnRestartSeen; 0: no restart was seen
     bool suspect = false;               // the last order was not sent or not answered
     bool confirmed = false;             // run lists arrived since the incarnation was last in doubt
     bool renewal_in_flight = false;
@@ -283,12 +284,20 @@
   /// answered a stop of that run.
   static void StopUnansweredStarts(WorkerView& view);
   /// Records that the worker's clock showed `clock_ms`, unless that value was delayed in transit.
-  void RecordClock(WorkerView& view, std::int64_t clock_ms, Micros now);
+  void RecordClock(WorkerView& view, std::int64_t clock_ms, Micros now) const;
   /// Returns a lower bound, in milliseconds, of the worker's clock at `time`.
   static std::int64_t MinClockAt(const WorkerView& view, Micros time);
   /// Whether the reply came from an incarnation other than the one that the view describes.
   static bool IsFromOtherIncarnation(const SentOrder& sent, const WorkerView& view,
                                      const OrderReply& reply);
+  /// Handles an answer of another incarnation than the view describes: it may have carried out an
+  /// order for that one, whose clock showed more, and hold the longest lease.
+  void OnRestartSeen(const SentOrder& sent, WorkerView& view, const OrderReply& reply, Micros now,
+                     WallMs wall, Outbox& out);
+  /// Returns the time by which a lease has expired that a worker got by this time, whatever the
+  /// order says.
+  Micros LongestLeaseExpiry(Micros time) const;
+  void SetLeaseExpiry(WorkerView& view) const;
   /// Returns what the worker's clock shows now, in milliseconds, if it runs at the leader's rate.
   std::int64_t EstimateClock(const WorkerView& view, Micros now) const;
   /// Extends the worker's lease to at least `lease_ms` from now and returns that end on the
--- a/control/worker_replies.cc
+++ b/control/worker_replies.cc
@@ -36,15 +36,7 @@
       reply.outcome == OrderOutcome::kDone || reply.outcome == OrderOutcome::kRefused;
   if (answered) view->last_answered_order_at = std::max(view->last_answered_order_at, sent.sent_at);
   if (answered && IsFromOtherIncarnation(sent, *view, reply)) {
-    // The run lists will show what this incarnation has done. Until they arrive, the leader neither
-    // acknowledges ends nor renews the lease.
-    out.Log("worker_restarted",
-            {{"worker", sent.worker},
-             {"clock_ms", std::to_string(reply.clock_ms)},
-             {"known_clock_ms", std::to_string(view->clock_ms)}},
-            Severity::kWarning);
-    view->confirmed = false;
-    view->next_renewal_at = std::min(view->next_renewal_at, now + kRenewalPause);
+    OnRestartSeen(sent, *view, reply, now, wall, out);
     if (sent.kind != OrderKind::kRenewLease) return OnOtherIncarnationReply(sent, *view, now);
   } else if (sent.incarnation == view->incarnation && answered &&
              reply.incarnation_ms <= view->incarnation) {
@@ -93,6 +85,22 @@
   }
 }
 
+void WorkerFleet::OnRestartSeen(const SentOrder& sent, WorkerView& view, const OrderReply& reply,
+                                Micros now, WallMs wall, Outbox& out) {
+  // The run lists will show what this incarnation has done. Until they arrive, the leader neither
+  // acknowledges ends nor renews the lease.
+  out.Log("worker_restarted",
+          {{"worker", sent.worker},
+           {"clock_ms", std::to_string(reply.clock_ms)},
+           {"known_clock_ms", std::to_string(view.clock_ms)}},
+          Severity::kWarning);
+  view.confirmed = false;
+  view.next_renewal_at = std::min(view.next_renewal_at, now + kRenewalPause);
+  view.leases_expire_by = std::max(view.leases_expire_by, LongestLeaseExpiry(now));
+  if (std::exchange(view.restart_seen_at, now) != 0) return;
+  propose_(RecordWorker{.record = view.known->record, .restart_seen_ms = wall});
+}
+
 void WorkerFleet::OnOtherIncarnationReply(const SentOrder& sent, WorkerView& view, Micros now) {
   const auto found = view.runs.find(sent.task);
   if (found == view.runs.end() || found->second.run != sent.run) return;
--- a/jobs/commands.h
+++ b/jobs/commands.h
@@ -100,7 +100,10 @@
   /// order, so it did not crash.
   bool planned = false;
   std::uint64_t sequence = 0;  // of the heartbeat; 0: not from a heartbeat
-  MSGPACK_DEFINE(record, planned, sequence)
+  /// Unix time at which an order was answered by a later incarnation, of which no more is known
+  /// yet; 0: the record describes the worker. The rest of the command is without effect then.
+  std::int64_t restart_seen_ms = 0;
+  MSGPACK_DEFINE(record, planned, sequence, restart_seen_ms)
 };
 
 /// Removes a worker that will not return and that has no assigned tasks.
--- a/jobs/state.cc
+++ b/jobs/state.cc
@@ -489,6 +489,14 @@
   if (command.record.id.empty() || command.record.incarnation_ms <= 0) {
     return ApplyOutcome::kRejected;
   }
+  if (command.restart_seen_ms != 0) {
+    const auto worker = workers_.find(command.record.id);
+    const bool current = worker != workers_.end() &&
+                         worker->second.record.incarnation_ms == command.record.incarnation_ms;
+    if (!current) return ApplyOutcome::kRejected;
+    worker->second.restart_seen_ms = command.restart_seen_ms;
+    return ApplyOutcome::kApplied;
+  }
   if (const Worker* known = FindWorker(command.record.id)) {
     const std::int64_t known_ms = known->record.incarnation_ms;
     if (command.record.incarnation_ms < known_ms) return ApplyOutcome::kRejected;
@@ -503,6 +511,7 @@
     MarkEarlierWorkers(command);
     worker.restarted = worker.record.incarnation_ms != 0;
     worker.acknowledged_ends = 0;
+    worker.restart_seen_ms = 0;
   }
   RemoveFromIndexes(worker.record);
   worker.record = command.record;
--- a/jobs/state.h
+++ b/jobs/state.h
@@ -182,7 +182,9 @@
   bool restarted = false;               // an earlier incarnation had the same id
   std::map<TaskId, LostRun> lost_runs;  // of this incarnation
   std::uint64_t sequence = 0;           // of the heartbeat that changed the record last
-  MSGPACK_DEFINE(record, acknowledged_ends, tasks, used, restarted, lost_runs, sequence)
+  std::int64_t restart_seen_ms = 0;     // see RecordWorker; 0 once a later incarnation is recorded
+  MSGPACK_DEFINE(record, acknowledged_ends, tasks, used, restarted, lost_runs, sequence,
+                 restart_seen_ms)
 
   // Of the long-running ones among `tasks`. Derived, not stored.
   std::uint32_t long_running_tasks = 0;
--- a/tests/inherited_lease_test.cc
+++ b/tests/inherited_lease_test.cc
@@ -25,4 +25,35 @@
   CHECK(start.lease_until_ms <= lab.workers.at("a").ClockAt(lab.now) + kLeaseMs);
 }
 
+// Guards against a task that starts again while its worker, which restarted unnoticed, holds the
+// lease of an order that was meant for its former incarnation.
+TEST_CASE("a worker that answers a start after an unnoticed restart and then falls silent") {
+  SingleWorkerFleet lab;
+  const jobs::OrderEffect start = lab.AssignAndTakeStart();
+  lab.Silence();
+  const jobs::OrderEffect renewal = lab.NextLeaseRenewal();
+  const jobs::OrderReply former_lists = lab.MakeLists(lab.worker());
+  lab.Restart(kWorker);
+  lab.ListAsRunning();
+  const Micros begun = lab.now;
+  lab.Answer(start, jobs::OrderOutcome::kDone);
+  const auto wait_until_expired = [&] {
+    const Micros longest = jobs::FleetOptions{}.longest_lease_ms * kMillisecond;
+    lab.Wait(begun + longest - lab.now);
+    CHECK(lab.Assigned(lab.task));
+    lab.Wait(kSecond);
+    CHECK(lab.Waiting(lab.task));
+  };
+  SECTION("keeps its task for as long as the lease may last") { wait_until_expired(); }
+  SECTION("also if an answer of its former incarnation arrives late") {
+    lab.Answer(renewal, former_lists);
+    lab.Wait(100 * kMillisecond);
+    wait_until_expired();
+  }
+  SECTION("also under the next leader") {
+    lab.ChangeLeader();
+    wait_until_expired();
+  }
+}
+
 }  // namespace godwitpaddle::testing
