Start long-running tasks rather where no long lease may be held

A worker that restarted under its id may hold a lease of 10 s. Should it be lost for good, its long-running tasks wait for that lease, longer than the 9 s in which they are to run again. Such a worker gets long-running tasks rather not: it ranks after others, but for those that are to be moved and those away from the data.

long_running_room_test ("a long-running task rather starts where no long lease is held") failed without the preference.

--- a/control/worker_fleet.cc
+++ b/control/worker_fleet.cc
@@ -10,6 +10,8 @@
 /// Leases end by the worker's clock, which may run up to 2 percent slow.
 constexpr double kSlowestClock = 0.98;
 constexpr Micros kLeaseExpiryMargin = 100 * kMillisecond;
+/// A lease counts as long if it may last longer than the usual one by this.
+constexpr Micros kLongLeaseSlack = kSecond;
 /// Workers report their clocks in whole milliseconds. A reply counts as that of another incarnation
 /// only if its reading is lower by more than this than the least that the worker's clock can have
 /// shown when the order was sent, so that rounding does not look like a restart.
@@ -170,6 +172,10 @@
   return time + MaxLeaseDuration(options_.longest_lease_ms) + kLeaseExpiryMargin;
 }
 
+bool WorkerFleet::HasLongLease(const WorkerView& view, Micros now) const {
+  return view.leases_expire_by > now + MaxLeaseDuration(options_.lease_ms) + kLongLeaseSlack;
+}
+
 // ---- heartbeats ----
 
 bool WorkerFleet::OnHeartbeat(const HeartbeatCall& call, Micros now) {
@@ -287,7 +293,8 @@
     if (!IsUsable(*view, now)) continue;
     usable.push_back({.worker = view->known,
                       .recently_successful = view->recently_successful,
-                      .unanswered_starts = view->unanswered_starts});
+                      .unanswered_starts = view->unanswered_starts,
+                      .long_lease = HasLongLease(*view, now)});
   }
   return usable;
 }
--- a/control/worker_fleet.h
+++ b/control/worker_fleet.h
@@ -298,6 +298,8 @@
   /// order says.
   Micros LongestLeaseExpiry(Micros time) const;
   void SetLeaseExpiry(WorkerView& view) const;
+  /// Whether the worker may hold a lease that ends later than one that is given now would.
+  bool HasLongLease(const WorkerView& view, Micros now) const;
   /// Returns what the worker's clock shows now, in milliseconds, if it runs at the leader's rate.
   std::int64_t EstimateClock(const WorkerView& view, Micros now) const;
   /// Extends the worker's lease to at least `lease_ms` from now and returns that end on the
--- a/jobs/plan_walk.cc
+++ b/jobs/plan_walk.cc
@@ -263,6 +263,7 @@
          .long_running_used = worker.long_running_used + load.long_running_used,
          .recently_successful = one.recently_successful,
          .leaving = one.leaving,
+         .long_lease = one.long_lease,
          .unanswered = unanswered,
          .kept = is_kept,
          .in_trial = in_trial});
@@ -352,9 +353,14 @@
 void PlanWalk::PlaceAlone(const Candidate& candidate, std::uint32_t index,
                           std::map<WorkerId, std::uint32_t>& per_worker) {
   auto& rooms = candidate.room->workers;
-  const auto room = std::ranges::find_if(rooms, [&](const WorkerRoom& one) {
-    return IsEmpty(one) && Suits(candidate.Spec(), one.worker->record);
-  });
+  const auto find_empty = [&](bool with_long_lease) {
+    return std::ranges::find_if(rooms, [&](const WorkerRoom& one) {
+      return IsEmpty(one) && (with_long_lease || !one.long_lease) &&
+             Suits(candidate.Spec(), one.worker->record);
+    });
+  };
+  auto room = find_empty(!candidate.Spec().long_running);
+  if (room == rooms.end()) room = find_empty(true);
   if (room == rooms.end()) return KeepWorker(candidate);
   const WorkerId& id = room->worker->record.id;
   const std::uint32_t run = candidate.Run().tasks[index].run + 1;
@@ -472,7 +478,7 @@
   if (skips) return nullptr;
   scanned_ = true;
   WorkerRoom* best = nullptr;
-  std::tuple<bool, bool, bool, bool, bool, std::int64_t> best_score;
+  std::tuple<bool, bool, bool, bool, bool, bool, std::int64_t> best_score;
   bool leaving_has_room = false;
   for (WorkerRoom& room : service.workers) {
     const WorkerRecord& record = room.worker->record;
@@ -490,6 +496,7 @@
     // Prefers fuller workers, so that others become idle, and concentrates long-running tasks on
     // few workers. A task's last attempt prefers a recently successful worker.
     const std::tuple score(!room.closed(), !room.leaving, near_data,
+                           !(step.long_running && room.long_lease),
                            room.recently_successful || !last_attempt,
                            step.long_running && room.long_running_tasks > 0, -room.free.cpu);
     if (best != nullptr && score <= best_score) continue;
--- a/jobs/plan_walk.h
+++ b/jobs/plan_walk.h
@@ -38,6 +38,7 @@
   Resources long_running_used;
   bool recently_successful = false;
   bool leaving = false;     // see UsableWorker
+  bool long_lease = false;  // see UsableWorker
   bool unanswered = false;  // too many of its starts wait for an answer
   bool kept = false;        // see KeptWorker
   bool in_trial = false;    // a suspect has it for itself
--- a/jobs/planner.h
+++ b/jobs/planner.h
@@ -30,6 +30,9 @@
   /// Its VM is to be moved to another pool once it has no tasks and the platform takes the move. It
   /// gets long-running tasks, and others that would wait while most of the service's room is free.
   bool leaving = false;
+  /// It may hold a longer lease than usual. Should it be lost for good, its tasks wait for that
+  /// lease, so long-running ones rather start elsewhere.
+  bool long_lease = false;
 };
 
 struct PlanInput {
--- a/tests/long_running_room_test.cc
+++ b/tests/long_running_room_test.cc
@@ -86,4 +86,22 @@
   CHECK(test.Assigned() == 6);
 }
 
+// Guards against a long-running task that starts on a worker whose loss would be known late.
+TEST_CASE("a long-running task rather starts where no long lease is held") {
+  CrashedService test;
+  std::vector<UsableWorker> usable = test.Usable();
+  usable.at(0).long_lease = true;
+  test.planner.Reset();
+  test.planner.OnJobChanged(kJob);
+  SECTION("if such a worker has room") {
+    for (std::int64_t ms = 0; ms <= kMaxWaitMs; ms += 100) test.PlanAt(ms, usable);
+    CHECK(test.state.FindWorker("b")->tasks.size() >= 5);
+  }
+  SECTION("else on any") {
+    usable.pop_back();
+    for (std::int64_t ms = 0; ms <= kMaxWaitMs; ms += 100) test.PlanAt(ms, usable);
+    CHECK(test.Assigned() == 6);
+  }
+}
+
 }  // namespace godwitpaddle::jobs
