Soak long-running tasks, with times without faults in which they must run

The soak had no long-running jobs, and nothing checked that a task which may run does. Requests then name the latest 100 jobs only, since the times without faults age them.

--- a/tests/job_soak.cc
+++ b/tests/job_soak.cc
@@ -7,9 +7,9 @@
 
 // Soak test of job control: job_soak [--seed FIRST] [--seeds COUNT] [--steps N]
 // [--waves-and-power] [--full-platform] [--late-after-restart] [--relayed-orders]
-// [--changing-queues] [--evacuations] [--crowds]. Prints one line of totals for each seed. For a
-// seed with violations it also prints these and the nodes' last log lines, and exits with 1 at the
-// end.
+// [--changing-queues] [--evacuations] [--long-running] [--crowds]. Prints one line of totals for
+// each seed. For a seed with violations it also prints these and the nodes' last log lines, and
+// exits with 1 at the end.
 int main(int argc, const char** argv) {
   int first = 1;
   int count = 1;
@@ -20,6 +20,7 @@
   int relayed_orders = 0;
   int changing_queues = 0;
   int evacuations = 0;
+  int long_running = 0;
   int crowds = 0;
   const poptOption options[] = {
       {"seed", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
@@ -38,6 +39,9 @@
        "operators rename, move and remove queues and teams", nullptr},
       {"evacuations", 0, POPT_ARG_NONE, &evacuations, 0,
        "operators evacuate availability zones and take them back", nullptr},
+      {"long-running", 0, POPT_ARG_NONE, &long_running, 0,
+       "add long-running jobs, whose tasks must run whenever there are no faults for a while",
+       nullptr},
       {"crowds", 0, POPT_ARG_NONE, &crowds, 0, "clients send many jobs at once", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   const poptContext context =
@@ -59,6 +63,7 @@
                                            .relayed_orders = relayed_orders != 0,
                                            .changing_queues = changing_queues != 0,
                                            .evacuations = evacuations != 0,
+                                           .long_running = long_running != 0,
                                            .crowds = crowds != 0});
     std::cout << "seed=" << seed << " " << godwitpaddle::testing::JobSoakLine(result) << std::endl;
     if (result.violations.empty()) continue;
--- a/tests/job_soak_run.cc
+++ b/tests/job_soak_run.cc
@@ -10,6 +10,7 @@
 
 #include "tests/drawn_configurations.h"
 #include "tests/job_cluster.h"
+#include "tests/long_running_watch.h"
 
 namespace godwitpaddle::testing {
 namespace {
@@ -38,6 +39,15 @@
 constexpr std::uint64_t kFinalStepsWithoutCrowds = 300;
 /// No wave starts in these last steps of a full-platform run.
 constexpr std::uint64_t kFinalStepsWithoutWaves = 300;
+/// Long-running jobs, which are the first ones, and the tasks of each.
+constexpr jobs::JobId kLongRunningJobs = 4;
+constexpr std::uint32_t kLongRunningTasks = 4;
+constexpr std::uint64_t kStepsBetweenRests = 120;
+/// As kKeptJobs, in a run with rests, which take time.
+constexpr jobs::JobId kKeptJobsWithRests = 100;
+/// All faults have ended after this time if no further ones begin.
+constexpr Micros kLongestFault = 9 * kSecond;
+constexpr Micros kRest = 8 * kSecond;
 constexpr Micros kMaxFaultChange = 5 * kSecond;
 constexpr Micros kRecoveryTime = 40 * kSecond;
 /// Longest time that the accepted jobs of crowds take. The leader accepts work for ten objectives,
@@ -65,9 +75,18 @@
 
  private:
   static JobClusterOptions DefaultFaults(const JobSoakOptions& options);
+  static JobClusterOptions WithoutFaults(const JobClusterOptions& faults);
   std::uint64_t RandomBelow(std::uint64_t bound) { return UniformBelow(cluster_.rng(), bound); }
-  /// A random job among the latest kKeptJobs, which the leader has not discarded.
-  jobs::JobId RandomJob() { return last_job_ - RandomBelow(std::min(last_job_, kKeptJobs)); }
+  /// A random short job among the latest ones, which the leader has not discarded.
+  jobs::JobId RandomJob() {
+    const jobs::JobId kept = options_.long_running ? kKeptJobsWithRests : kKeptJobs;
+    return last_job_ - RandomBelow(std::min(last_job_ - first_jobs_, kept));
+  }
+  bool IsLongRunning(jobs::JobId job) const { return job <= first_jobs_; }
+  void SubmitLongRunning();
+  void CancelLongRunning();
+  /// Lets all faults end, and checks the long-running tasks for a while without faults.
+  void Rest();
   std::size_t RandomEdge() { return cluster_.edge(RandomBelow(3)); }
   void StartUp();
   void RunStep();
@@ -122,6 +141,8 @@
   JobSoakResult result_;
   std::map<jobs::JobId, KnownJob> known_jobs_;
   jobs::JobId last_job_ = 0;
+  jobs::JobId first_jobs_ = 0;  // the jobs up to this one are long-running
+  LongRunningWatch long_running_{cluster_};
   std::uint64_t last_version_ = 1;
   std::uint64_t acknowledged_version_ = 1;
   std::set<std::size_t> lost_nodes_;  // core nodes that are down or catching up
@@ -129,6 +150,7 @@
   std::uint64_t step_ = 0;
   std::map<jobs::JobId, JobOrigin> origins_;  // of jobs that differ from JobOrigin()
   bool faults_ended_ = false;
+  bool rests_ = false;
 };
 
 JobClusterOptions Soak::DefaultFaults(const JobSoakOptions& options) {
@@ -189,6 +211,12 @@
       .kind = kind, .host = "shop", .path = origin.prefix + jobs::FormatJob(job), .key = "k1"};
   if (options_.changing_queues) call.key = DrawnConfigurations::LastingKey(origin.team);
   if (kind != JobCallKind::kSubmit) return call;
+  if (IsLongRunning(job)) {
+    call.spec.payload = std::to_string(kWatchedCpu) + " 100000000";
+    call.spec.steps = {
+        {.count = kLongRunningTasks, .size = {.cpu = kWatchedCpu}, .long_running = true}};
+    return call;
+  }
   if (options_.changing_queues && job % 2 == 0) call.key = drawn_.NewestKey(origin.team);
   call.spec.payload = "1000 " + std::to_string(100 + job % 7 * 150);
   call.spec.steps = {{.count = 1 + static_cast<std::uint32_t>(job % 4),
@@ -214,6 +242,42 @@
     for (std::size_t i = 0; i < kStandbyVms; ++i) cluster_.AddStandbyVm("off", {.cpu = 6'000});
   }
   cluster_.RunFor(2 * kSecond);
+  if (options_.long_running) SubmitLongRunning();
+}
+
+void Soak::SubmitLongRunning() {
+  first_jobs_ = last_job_ = kLongRunningJobs;
+  for (jobs::JobId job = 1; job <= first_jobs_; ++job) {
+    while (!known_jobs_[job].accepted) {
+      Submit(job);
+      cluster_.RunFor(kSecond);
+    }
+    for (std::uint32_t index = 0; index < kLongRunningTasks; ++index) {
+      long_running_.Add({.job = job, .index = index});
+    }
+  }
+}
+
+void Soak::CancelLongRunning() {
+  for (jobs::JobId job = 1; job <= first_jobs_; ++job) {
+    while (!known_jobs_[job].cancelled) {
+      Cancel(job);
+      cluster_.RunFor(kSecond);
+    }
+  }
+  cluster_.RunFor(5 * kSecond);
+}
+
+void Soak::Rest() {
+  rests_ = true;
+  const JobClusterOptions faults = cluster_.options();
+  JobClusterOptions none = WithoutFaults(faults);
+  cluster_.options() = none;
+  cluster_.RunFor(kLongestFault);
+  long_running_.RunFreeOfFaults(kRest);
+  cluster_.options() = DefaultFaults(options_);
+  cluster_.options().sync_time = faults.sync_time;
+  rests_ = false;
 }
 
 void Soak::ChooseOrigin(jobs::JobId job) {
@@ -476,7 +540,7 @@
 void Soak::ChangeFaultsBriefly(const std::function<void(JobClusterOptions&)>& change) {
   change(cluster_.options());
   cluster_.After(kSecond + static_cast<Micros>(RandomBelow(kMaxFaultChange)), [this] {
-    if (faults_ended_) return;
+    if (faults_ended_ || rests_) return;
     const Micros sync_time = cluster_.options().sync_time;
     cluster_.options() = DefaultFaults(options_);
     cluster_.options().sync_time = sync_time;
@@ -580,11 +644,11 @@
     ChooseOrigin(last_job_);
     Submit(last_job_);
     if (kind < 3) Cancel(last_job_);  // by another edge, so that it may arrive first
-  } else if (kind < 55 && last_job_ > 0) {
+  } else if (kind < 55 && last_job_ > first_jobs_) {
     Submit(RandomJob());  // repeats an earlier submit
-  } else if (kind < 62 && last_job_ > 0) {
+  } else if (kind < 62 && last_job_ > first_jobs_) {
     Cancel(RandomJob());
-  } else if (kind < 80 && last_job_ > 0) {
+  } else if (kind < 80 && last_job_ > first_jobs_) {
     Query(RandomJob());
   } else if (kind < 84) {
     Configure();
@@ -598,17 +662,23 @@
   CheckOrigins();
 }
 
+JobClusterOptions Soak::WithoutFaults(const JobClusterOptions& faults) {
+  JobClusterOptions none{.cores = faults.cores,
+                         .edges = faults.edges,
+                         .lost_vm_answers = faults.lost_vm_answers,
+                         .sync_time = faults.sync_time,
+                         .model_vms = faults.model_vms};
+  none.loss = 0;
+  none.late_orders = 0;
+  none.lost_answers = 0;
+  return none;
+}
+
 void Soak::EndFaults() {
   faults_ended_ = true;
-  cluster_.options() = {.cores = cluster_.options().cores,
-                        .edges = cluster_.options().edges,
-                        .power_loss_after_ack = cluster_.options().power_loss_after_ack,
-                        .lost_vm_answers = cluster_.options().lost_vm_answers,
-                        .sync_time = cluster_.options().sync_time,
-                        .model_vms = cluster_.options().model_vms};
-  cluster_.options().loss = 0;
-  cluster_.options().late_orders = 0;
-  cluster_.options().lost_answers = 0;
+  const double power_loss_after_ack = cluster_.options().power_loss_after_ack;
+  cluster_.options() = WithoutFaults(cluster_.options());
+  cluster_.options().power_loss_after_ack = power_loss_after_ack;
   cluster_.RunFor(12 * kSecond);
   for (std::size_t node = 0; node < cluster_.size(); ++node) cluster_.Start(node);
   cluster_.options().power_loss_after_ack = 0;
@@ -617,6 +687,10 @@
   }
   if (options_.changing_queues) CompleteConfiguration();
   if (options_.evacuations) EndEvacuations();
+  if (options_.long_running) {
+    long_running_.RunFreeOfFaults(kRest);
+    CancelLongRunning();
+  }
   cluster_.RunFor(options_.full_platform ? kRecoveryTime : 30 * kSecond);
 }
 
@@ -661,6 +735,7 @@
     const bool crowd = step_ % kStepsPerCrowd == kStepsPerCrowd / 2 &&
                        step_ + kFinalStepsWithoutCrowds < options_.steps;
     if (options_.crowds && crowd) SubmitCrowd();
+    if (options_.long_running && step_ % kStepsBetweenRests == kStepsBetweenRests - 1) Rest();
     RunStep();
   }
   if (cluster_.violations.empty()) EndFaults();
--- a/tests/job_soak_run.h
+++ b/tests/job_soak_run.h
@@ -29,6 +29,9 @@
   bool changing_queues = false;
   /// Operators evacuate availability zones and take them back.
   bool evacuations = false;
+  /// Adds jobs of long-running tasks, and times without faults, in which these tasks must run: see
+  /// LongRunningWatch.
+  bool long_running = false;
   /// Clients send many jobs at once, more than there is room for while they are of use.
   bool crowds = false;
 };
--- a/tests/job_soak_test.cc
+++ b/tests/job_soak_test.cc
@@ -150,5 +150,22 @@
   }
 }
 
+// Guards against long-running tasks that wait beside workers with room, and against a task that
+// starts again while its worker holds a longer lease than the next leader assumes (seed 27).
+TEST_CASE("soak test of job control with long-running tasks") {
+  const auto check = [](const JobSoakOptions& options) {
+    const JobSoakResult result = RunJobSoak(options);
+    INFO("seed " << options.seed << " " << JobSoakLine(result));
+    for (const std::string& violation : result.violations) UNSCOPED_INFO(violation);
+    CHECK(result.violations.empty());
+    CHECK(result.accepted > 0);
+  };
+  for (const std::uint64_t seed : {1, 2, 27}) {
+    check({.seed = seed, .steps = 2'000, .long_running = true});
+  }
+  check({.seed = 200, .steps = 1'200, .full_platform = true, .long_running = true});
+  check({.seed = 100, .steps = 1'200, .waves_and_power = true, .long_running = true});
+}
+
 }  // namespace
 }  // namespace godwitpaddle::testing
