--- a/tests/never_begun_run_test.cc
+++ b/tests/never_begun_run_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 #include <variant>
@@ -12,11 +13,10 @@
 
 using jobs::OrderOutcome;
 using jobs::StartOrder;
-using jobs::StopOrder;
 
 constexpr jobs::JobId kOrdinaryJob = ManualWorkerFleet::kJob;
 constexpr jobs::JobId kLongRunningJob = 77;
-const std::vector<jobs::WorkerId> kWorkers = {"a", "b", "c", "d", "e"};
+constexpr std::array<const char*, 5> kWorkers = {"a", "b", "c", "d", "e"};
 
 /// Workers that crash one after the other, each with one task.
 struct CrashLab : ManualWorkerFleet {
@@ -24,7 +24,7 @@
     jobs::Submit submit{.job = kLongRunningJob, .queue = "quotes", .wall_ms = Wall()};
     submit.spec.steps = {{.count = 1, .size = {.cpu = 1'000}, .long_running = true}};
     state.Apply(submit);
-    for (const jobs::WorkerId& id : kWorkers) AddWorker(id, "vm-" + id);
+    for (const jobs::WorkerId id : kWorkers) AddWorker(id, "vm-" + id);
   }
 
   const jobs::Task& At(jobs::JobId job) const { return *state.FindTask({.job = job}); }
@@ -81,13 +81,13 @@
 TEST_CASE("a run that no worker has begun does not count as crashed") {
   CrashLab lab;
   SECTION("so that its job goes on") {
-    for (const jobs::WorkerId& id : kWorkers) CHECK(lab.LoseUnbegun(kOrdinaryJob, id));
+    for (const char* id : kWorkers) CHECK(lab.LoseUnbegun(kOrdinaryJob, id));
     REQUIRE(lab.JobActive(kOrdinaryJob));
     lab.AddWorker("f", "vm-f");
     CHECK(lab.Assign(lab.FirstTask(), "f") == jobs::ApplyOutcome::kApplied);
   }
   SECTION("so that a long-running task does not pause") {
-    for (const jobs::WorkerId& id : kWorkers) REQUIRE(lab.LoseUnbegun(kLongRunningJob, id));
+    for (const char* id : kWorkers) REQUIRE(lab.LoseUnbegun(kLongRunningJob, id));
     CHECK_FALSE(lab.At(kLongRunningJob).paused(lab.Wall()));
   }
   SECTION("nor do three of them and one crash") {
